--- /dev/null
+++ b/model/src/main/kotlin/dev/baobabhollow/model/PlatformLog.kt
@@ -0,0 +1,76 @@
+package dev.baobabhollow.model
+
+import com.github.michaelbull.result.Result
+import kotlinx.serialization.Serializable
+
+/** Appends to and reads from the platform's append-only log. Calls block; use one thread for each duty. */
+interface PlatformLog {
+    /**
+     * Appends [records] in order and gives up at [deadlineMillis] (epoch milliseconds).
+     *
+     * After [LogError.OutcomeUnknown] the records may or may not be in the log; append the same records again.
+     */
+    fun append(
+        stream: StreamName,
+        records: List<LogRecord>,
+        deadlineMillis: Long,
+    ): Result<AppendReceipt, LogError>
+
+    /**
+     * Reads at most [maxRecords] records with offsets above [afterOffset]. Without such records it waits until
+     * [waitUntilMillis] (epoch milliseconds) and then returns an empty batch.
+     */
+    fun read(
+        stream: StreamName,
+        afterOffset: Long,
+        maxRecords: Int,
+        waitUntilMillis: Long,
+    ): Result<LogBatch, LogError>
+}
+
+/** Holds the offsets of appended records, in the order given, and the platform's time of the append. */
+@Serializable
+data class AppendReceipt(
+    val offsets: List<Long>,
+    val appendedAtMillis: Long,
+)
+
+/**
+ * Holds entries in order of their offsets. [earliestOffset] is the first offset that the log still keeps, [nextOffset] the
+ * offset of the next append.
+ */
+@Serializable
+data class LogBatch(
+    val entries: List<LogEntry>,
+    val earliestOffset: Long,
+    val nextOffset: Long,
+    val retentionMillis: Long,
+)
+
+/** Says why the platform log did not do what was asked. */
+sealed interface LogError {
+    /** The log did not take the request; nothing happened. */
+    data class Unavailable(
+        val reason: String,
+    ) : LogError
+
+    /** No answer arrived; an append may have taken effect. */
+    data class OutcomeUnknown(
+        val reason: String,
+    ) : LogError
+
+    /** The log takes no more appends before [retryAtMillis]; nothing happened. */
+    data class RateLimited(
+        val retryAtMillis: Long,
+    ) : LogError
+
+    /** Records after the requested offset have expired; the log starts at [earliestOffset]. */
+    data class Trimmed(
+        val earliestOffset: Long,
+    ) : LogError
+
+    /** The answer could not be understood. */
+    data class Malformed(
+        val reason: String,
+    ) : LogError
+}
