--- a/configuration/src/main/kotlin/dev/baobabhollow/configuration/SnapshotPolicy.kt
+++ b/configuration/src/main/kotlin/dev/baobabhollow/configuration/SnapshotPolicy.kt
@@ -15,6 +15,8 @@
     /**
      * Tells whether a snapshot of [state] is due at [nowMillis] for a log that keeps records for [retentionMillis] and now
      * starts at [earliestOffset].
+     *
+     * A snapshot is renewed by age even when no record came after it: it expires like any other record.
      */
     fun isDue(
         state: ConfigurationState,
@@ -22,18 +24,13 @@
         retentionMillis: Long,
         nowMillis: Long,
     ): Boolean {
-        if (state.offset == NO_OFFSET || state.offset == state.snapshotOffset) return isMissing(state, earliestOffset)
-        if (isMissing(state, earliestOffset)) return true
-        val grown = state.offset - state.snapshotOffset > maxRecords + rank
-        val agedAtMillis = state.snapshotAtMillis + retentionMillis / RETENTION_PARTS + rank * rankDelayMillis
-        return grown || (state.snapshotOffset != NO_OFFSET && nowMillis >= agedAtMillis)
+        if (state.offset == NO_OFFSET) return false
+        val isLost = state.snapshotOffset < earliestOffset
+        val hasGrown = state.offset - state.snapshotOffset > maxRecords + rank
+        val dueAtMillis = state.snapshotAtMillis + retentionMillis / RETENTION_PARTS + rank * rankDelayMillis
+        return isLost || hasGrown || nowMillis >= dueAtMillis
     }
 
-    private fun isMissing(
-        state: ConfigurationState,
-        earliestOffset: Long,
-    ): Boolean = state.offset != NO_OFFSET && state.snapshotOffset < earliestOffset && earliestOffset > 0
-
     private companion object {
         const val RETENTION_PARTS = 3
     }
