--- /dev/null
+++ b/configuration/src/test/kotlin/dev/baobabhollow/configuration/check/ConfigurationProtocolSpec.kt
@@ -0,0 +1,95 @@
+package dev.baobabhollow.configuration.check
+
+import dev.baobabhollow.configuration.RecordBatch
+import dev.baobabhollow.configuration.fold
+import dev.baobabhollow.configuration.moveId
+import dev.baobabhollow.model.ConfigurationState
+import dev.baobabhollow.model.LogEntry
+import dev.baobabhollow.model.MovePhase
+import dev.baobabhollow.model.MoveStageRecord
+import dev.baobabhollow.model.PatchRecord
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.shouldBe
+
+class ConfigurationProtocolSpec :
+    DescribeSpec({
+        describe("the configuration protocol, explored exhaustively within bounds") {
+            fun check(bounds: Bounds) {
+                val result = explore(ConfigurationProtocol(bounds))
+                println("$bounds: ${result.states} states, ${result.transitions} transitions")
+                result.violation.shouldBeNull()
+                result.isComplete shouldBe true
+            }
+
+            it("keeps every invariant across a restart, expiry, a snapshot and a race") {
+                check(Bounds(proposals = 1))
+            }
+
+            it("keeps every invariant when two nodes decide on a move and one of them is paused") {
+                check(Bounds(proposals = 2, snapshots = 0, restarts = 0))
+            }
+        }
+
+        describe("an invariant fails when its rule is broken:") {
+            fun violated(rules: Rules) = explore(ConfigurationProtocol(Bounds(), rules)).violation?.invariant
+
+            it("repeats count when the fold forgets writers") {
+                val forgetful = {
+                    state: ConfigurationState,
+                    entry: LogEntry,
+                    ->
+                    fold(state.copy(writers = emptyMap()), entry)
+                }
+                violated(Rules(fold = forgetful)) shouldBe "a repeated append counts once"
+            }
+
+            it("two patches win when the fold ignores the base version") {
+                val careless = {
+                    state: ConfigurationState,
+                    entry: LogEntry,
+                    ->
+                    fold(withStatedBase(state, entry), entry)
+                }
+                violated(Rules(fold = careless)) shouldBe "one patch wins against each base version"
+            }
+
+            it("a move reopens when a late stage overrides a take-back") {
+                val reopening = { state: ConfigurationState, entry: LogEntry -> fold(reopen(state, entry), entry) }
+                violated(Rules(fold = reopening)) shouldBe "a finished move stays finished"
+            }
+
+            it("replicas disagree when a batch with a gap is applied") {
+                val joined = { replica: ConfigurationState?, batch: RecordBatch ->
+                    batch.copy(afterOffset = replica?.offset ?: batch.afterOffset)
+                }
+                violated(Rules(batchAfter = joined)) shouldBe "replicas agree with the log"
+            }
+
+            it("replicas disagree when a reader takes a trimmed log for a whole one") {
+                violated(Rules(searchFrom = { 0 })) shouldBe "replicas agree with the log"
+            }
+
+            it("a replica goes back when it takes over older states") {
+                violated(Rules(accept = { _, _ -> true })) shouldBe "no replica goes back"
+            }
+        }
+    })
+
+private fun withStatedBase(
+    state: ConfigurationState,
+    entry: LogEntry,
+): ConfigurationState {
+    val body = entry.record.body as? PatchRecord ?: return state
+    return state.copy(version = body.baseVersion)
+}
+
+private fun reopen(
+    state: ConfigurationState,
+    entry: LogEntry,
+): ConfigurationState {
+    val follows = (entry.record.body as? MoveStageRecord)?.follows ?: return state
+    val move = state.moves[moveId] ?: return state
+    if (move.phase != MovePhase.TAKEN_BACK) return state
+    return state.copy(moves = state.moves + (moveId to move.copy(phase = MovePhase.RAMPING, stage = follows)))
+}
