--- /dev/null
+++ b/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/LogClientLimits.kt
@@ -0,0 +1,13 @@
+package dev.baobabhollow.platformlog
+
+/**
+ * Bounds what one [HttpPlatformLog] uses.
+ *
+ * A read may take [answerTimeoutMillis] longer than its wait. [maxConnections] is also the number of calls at one time.
+ */
+data class LogClientLimits(
+    val connectTimeoutMillis: Long = 1_000,
+    val answerTimeoutMillis: Long = 5_000,
+    val maxAnswerBytes: Int = 16 * 1024 * 1024,
+    val maxConnections: Int = 8,
+)
