--- /dev/null
+++ b/standins/src/main/kotlin/dev/baobabhollow/standins/LogHttpHandler.kt
@@ -0,0 +1,81 @@
+package dev.baobabhollow.standins
+
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.FullHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.QueryStringDecoder
+
+/** Holds one request of a connection and answers it at most once. Confined to the connection's event loop. */
+internal class LogExchange(
+    val channel: Channel,
+    val method: HttpMethod,
+    uri: String,
+    val body: String,
+    private val keepsConnection: Boolean,
+) {
+    private val query = QueryStringDecoder(uri)
+
+    /** Path without the query. */
+    val path: String = query.path()
+
+    /** Returns a query parameter. */
+    fun number(
+        name: String,
+        default: Long,
+    ): Long = query.parameters()[name]?.firstOrNull()?.toLongOrNull() ?: default
+
+    /** Sends [answer]. */
+    fun answer(answer: FullHttpResponse) {
+        if (!keepsConnection) answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        val sent = channel.writeAndFlush(answer)
+        if (!keepsConnection) sent.addListener(ChannelFutureListener.CLOSE)
+    }
+
+    /** Sends the head and half of the body of [answer], then closes the connection. */
+    fun answerHalf(answer: FullHttpResponse) {
+        answer.content().writerIndex(answer.content().writerIndex() / 2)
+        channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE)
+    }
+}
+
+/** Turns requests into exchanges. Clients do not pipeline, so answers need no order. */
+internal class LogHttpHandler(
+    private val handle: (LogExchange) -> Unit,
+) : SimpleChannelInboundHandler<FullHttpRequest>() {
+    override fun channelRead0(
+        context: ChannelHandlerContext,
+        request: FullHttpRequest,
+    ) {
+        if (request.decoderResult().isFailure) {
+            val reason = request.decoderResult().cause()?.message ?: "unreadable"
+            context
+                .writeAndFlush(errorAnswer(HttpResponseStatus.BAD_REQUEST, reason))
+                .addListener(ChannelFutureListener.CLOSE)
+            return
+        }
+        val body = request.content().toString(Charsets.UTF_8)
+        val keepsConnection = HttpUtil.isKeepAlive(request)
+        val exchange = LogExchange(context.channel(), request.method(), request.uri(), body, keepsConnection)
+        try {
+            handle(exchange)
+        } catch (failure: IllegalArgumentException) {
+            exchange.answer(errorAnswer(HttpResponseStatus.BAD_REQUEST, failure.message ?: "bad request"))
+        }
+    }
+
+    @Deprecated("Netty deprecates the method in another interface only")
+    override fun exceptionCaught(
+        context: ChannelHandlerContext,
+        cause: Throwable,
+    ) {
+        context.close()
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/dev/baobabhollow/standins/TargetAnswers.kt
@@ -0,0 +1,51 @@
+package dev.baobabhollow.standins
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFutureListener
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.FullHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import java.security.MessageDigest
+import java.util.HexFormat
+
+/** Returns the interim answer that asks for the body. */
+internal fun continueAnswer(): FullHttpResponse =
+    DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER)
+
+/** Sends [answer] and keeps or closes the connection as the caller asked. */
+internal fun TargetCall.send(
+    answer: FullHttpResponse,
+    closes: Boolean = false,
+) {
+    requestId?.let { answer.headers().set("x-request-id", it) }
+    val hash = MessageDigest.getInstance("SHA-256").digest(bytesOf(answer))
+    answer.headers().set("x-answer-sha256", HexFormat.of().formatHex(hash))
+    channel.pipeline().get(TargetHttpHandler::class.java)?.finish()
+    val ends = closes || !HttpUtil.isKeepAlive(request)
+    if (ends) answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+    val sent = channel.writeAndFlush(answer)
+    if (ends) sent.addListener(ChannelFutureListener.CLOSE)
+}
+
+/** Sends the head and half of the body of [answer], chunked if the caller asked for it, then closes the connection. */
+internal fun TargetCall.sendHalf(answer: FullHttpResponse) {
+    val head = DefaultHttpResponse(HttpVersion.HTTP_1_1, answer.status(), answer.headers())
+    if (parameter("chunked") == "true") {
+        head.headers().remove(HttpHeaderNames.CONTENT_LENGTH)
+        HttpUtil.setTransferEncodingChunked(head, true)
+    }
+    val body = answer.content()
+    channel.write(head)
+    channel
+        .writeAndFlush(DefaultHttpContent(body.readSlice(body.readableBytes() / 2)))
+        .addListener(ChannelFutureListener.CLOSE)
+}
+
+private fun bytesOf(answer: FullHttpResponse) =
+    ByteArray(answer.content().readableBytes()).also { answer.content().getBytes(answer.content().readerIndex(), it) }
