--- a/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/HttpPlatformLog.kt
+++ b/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/HttpPlatformLog.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
 import dev.baobabhollow.model.AppendReceipt
 import dev.baobabhollow.model.Endpoint
 import dev.baobabhollow.model.LogBatch
@@ -75,18 +76,30 @@
     ): Result<LogAnswer, LogError> {
         val timeoutMillis = deadlineMillis - nowMillis()
         if (timeoutMillis <= 0) return Err(LogError.Unavailable("the deadline passed before the request was sent"))
-        val startNanos = System.nanoTime()
+        val endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis)
         return try {
-            pool.acquire(timeoutMillis).andThen { channel ->
-                val spentMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos)
-                exchange(channel, request(method, path, body), timeoutMillis - spentMillis)
-            }
+            var result = attempt(method, path, body, endNanos)
+            // A reused connection may have been closed by the log a moment ago.
+            if (result.getError() === LogConnection.NOT_SENT) result = attempt(method, path, body, endNanos)
+            result
         } catch (_: InterruptedException) {
             Thread.currentThread().interrupt()
             Err(LogError.Unavailable("interrupted before the request was sent"))
         }
     }
 
+    private fun attempt(
+        method: HttpMethod,
+        path: String,
+        body: String,
+        endNanos: Long,
+    ): Result<LogAnswer, LogError> =
+        pool.acquire(millisUntil(endNanos)).andThen { channel ->
+            exchange(channel, request(method, path, body), millisUntil(endNanos))
+        }
+
+    private fun millisUntil(nanos: Long) = TimeUnit.NANOSECONDS.toMillis(nanos - System.nanoTime()).coerceAtLeast(1)
+
     private fun exchange(
         channel: Channel,
         request: DefaultFullHttpRequest,
--- a/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/LogConnection.kt
+++ b/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/LogConnection.kt
@@ -44,7 +44,7 @@
     ) = channel.eventLoop().execute {
         if (pending != null || !channel.isActive) {
             request.release()
-            answer.complete(Err(LogError.Unavailable("connection is closed or in use, nothing was sent")))
+            answer.complete(Err(NOT_SENT))
         } else {
             pending = answer
             channel.writeAndFlush(request).addListener {
@@ -122,7 +122,10 @@
         answer?.complete(result)
     }
 
-    private companion object {
-        const val RETRY_AFTER_HEADER = "retry-after-ms"
+    companion object {
+        /** Error of an exchange on a connection that had just closed; another connection may serve it. */
+        val NOT_SENT = LogError.Unavailable("the connection closed before the request was sent")
+
+        private const val RETRY_AFTER_HEADER = "retry-after-ms"
     }
 }
