Add keys, their outcomes at the owner and the book of claims

A request under a key must run at most once. The book decides a key only when it knows all claims since the earliest one that could be valid.

--- /dev/null
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/CallerKey.kt
@@ -0,0 +1,22 @@
+package dev.baobabhollow.calls
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+
+/** A key that the caller made: `<deadline epoch ms>-<anything>`. It must be claimed in the log before use. */
+data class CallerKey internal constructor(
+    override val text: String,
+    override val deadlineMillis: Long,
+) : IdempotencyKey {
+    internal companion object {
+        fun parse(text: String): Result<CallerKey, KeyError> {
+            val deadline = parseNumber(text.substringBefore('-'))
+            val name = text.substringAfter('-', "")
+            if (deadline == null || name.isEmpty()) {
+                return Err(KeyError.Malformed("expected '<deadline epoch ms>-<anything>' or an issued key"))
+            }
+            return Ok(CallerKey(text, deadline))
+        }
+    }
+}
--- /dev/null
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/ClaimBook.kt
@@ -0,0 +1,145 @@
+package dev.baobabhollow.calls
+
+import dev.baobabhollow.model.ClaimsRecord
+import dev.baobabhollow.model.KeyClaim
+import dev.baobabhollow.model.LogEntry
+import dev.baobabhollow.model.NO_OFFSET
+import java.util.TreeMap
+
+/**
+ * Longest time by the log's clock from a claim to its key's deadline, in milliseconds. Earlier claims never win. It
+ * exceeds [MAX_KEY_LIFETIME_MILLIS] by one minute for the difference between the clocks of nodes and log.
+ */
+const val MAX_CLAIM_LIFETIME_MILLIS = MAX_KEY_LIFETIME_MILLIS + 60_000L
+
+/** Says whether a claim holds its key. */
+sealed interface ClaimAnswer {
+    /** The claimant alone may run the request. */
+    data object Won : ClaimAnswer
+
+    /** [claimant] claimed the key first. */
+    data class Lost(
+        val claimant: String,
+    ) : ClaimAnswer
+
+    /** No valid claim is known, or an earlier one may have been trimmed from the log. */
+    data object Unknown : ClaimAnswer
+}
+
+/**
+ * Folds the claims stream of one partition. The first claim of a key wins until its claimant releases it or the key's
+ * deadline passes by the log's clock, which must not go back within a stream.
+ *
+ * Every claim of a key names the deadline that is part of the key, so a key can be decided exactly when the book knows
+ * all claims since [MAX_CLAIM_LIFETIME_MILLIS] before that deadline. Not safe for use by several threads.
+ */
+class ClaimBook(
+    private val partition: Int,
+    private val partitions: Int,
+    private val maxKeys: Int = DEFAULT_MAX_KEYS,
+) {
+    private class KeyState {
+        var holder: String? = null
+        var isCertain = false
+
+        // A claim may take effect after its claimant, who got no answer, has released it.
+        val released = HashSet<String>(1)
+    }
+
+    private val keys = HashMap<String, KeyState>()
+    private val byDeadline = TreeMap<Long, MutableList<String>>()
+    private var completeSinceMillis = Long.MIN_VALUE
+    private var logMillis = Long.MIN_VALUE
+    private var hasGap = false
+
+    /** Offset of the last entry seen. */
+    var offset: Long = NO_OFFSET
+        private set
+
+    /** Number of keys that are remembered. */
+    val size: Int get() = keys.size
+
+    /** Continues at [earliestOffset] because the log no longer keeps the records before it. */
+    fun skipTo(earliestOffset: Long) {
+        if (earliestOffset <= offset + 1) return
+        offset = earliestOffset - 1
+        hasGap = true
+    }
+
+    /** Adds the next entry; entries at or below [offset] change nothing. */
+    fun add(entry: LogEntry) {
+        if (entry.offset <= offset) return
+        // Records before this one were missed, and none of them is later than this one.
+        if (hasGap || entry.offset != offset + 1) completeSinceMillis = entry.appendedAtMillis + 1
+        hasGap = false
+        offset = entry.offset
+        logMillis = maxOf(logMillis, entry.appendedAtMillis)
+        forgetExpired()
+        val body = entry.record.body as? ClaimsRecord ?: return
+        body.claims.forEach { if (it.release) release(it) else claim(it, entry.appendedAtMillis) }
+    }
+
+    /** Answers whether [claimant] holds [key]. Ask after the entry of its claim has been added. */
+    fun answer(
+        key: String,
+        claimant: String,
+    ): ClaimAnswer {
+        val state = keys[key]
+        val holder = state?.holder
+        return when {
+            holder == null -> ClaimAnswer.Unknown
+            holder != claimant -> ClaimAnswer.Lost(holder)
+            state.isCertain -> ClaimAnswer.Won
+            else -> ClaimAnswer.Unknown
+        }
+    }
+
+    private fun claim(
+        claim: KeyClaim,
+        appendedAtMillis: Long,
+    ) {
+        val earliestMillis = claim.keyDeadlineMillis - MAX_CLAIM_LIFETIME_MILLIS
+        if (appendedAtMillis < earliestMillis || !isCurrent(claim)) return
+        val state = stateOf(claim) ?: return
+        if (state.holder != null || claim.claimant in state.released) return
+        state.holder = claim.claimant
+        state.isCertain = earliestMillis >= completeSinceMillis
+    }
+
+    private fun release(claim: KeyClaim) {
+        if (!isCurrent(claim)) return
+        val state = stateOf(claim) ?: return
+        state.released += claim.claimant
+        if (state.holder == claim.claimant) state.holder = null
+    }
+
+    // A key of another partition shows that a node uses another number of partitions: its claims are in other streams.
+    private fun isCurrent(claim: KeyClaim): Boolean {
+        val deadline = parseNumber(claim.key.substringBefore('-'))
+        if (deadline != claim.keyDeadlineMillis || deadline <= logMillis) return false
+        val isMine = partitionOf(claim.key, partitions) == partition
+        if (!isMine) completeSinceMillis = logMillis + 1
+        return isMine
+    }
+
+    private fun stateOf(claim: KeyClaim): KeyState? {
+        val known = keys[claim.key]
+        if (known != null) return known
+        if (keys.size >= maxKeys) {
+            completeSinceMillis = logMillis + 1
+            return null
+        }
+        byDeadline.getOrPut(claim.keyDeadlineMillis, ::mutableListOf).add(claim.key)
+        return KeyState().also { keys[claim.key] = it }
+    }
+
+    private fun forgetExpired() {
+        val expired = byDeadline.headMap(logMillis, true)
+        expired.values.forEach { texts -> texts.forEach(keys::remove) }
+        expired.clear()
+    }
+
+    private companion object {
+        const val DEFAULT_MAX_KEYS = 50_000
+    }
+}
--- /dev/null
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/ClaimPartition.kt
@@ -0,0 +1,9 @@
+package dev.baobabhollow.calls
+
+import com.dynatrace.hash4j.hashing.Hashing
+
+/** Returns the partition of the claims of [key]. All nodes must use the same number of [partitions]. */
+fun partitionOf(
+    key: String,
+    partitions: Int,
+): Int = Math.floorMod(Hashing.komihash5_0().hashCharsToLong(key), partitions.toLong()).toInt()
--- /dev/null
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/KeyOutcomes.kt
@@ -0,0 +1,142 @@
+package dev.baobabhollow.calls
+
+import com.github.michaelbull.result.getError
+import java.util.TreeSet
+
+/** Bounds a [KeyOutcomes]. Keys are never forgotten before their deadline, so more than [maxKeys] are refused. */
+data class KeyOutcomeLimits(
+    val maxKeys: Int = 50_000,
+    val maxAnswerBytes: Int = 16 * 1024,
+    val maxTotalBytes: Long = 16L * 1024 * 1024,
+)
+
+/** Holds a whole answer for repeats of its key. */
+class KeptAnswer(
+    val status: Int,
+    val headers: List<Pair<String, String>>,
+    val body: ByteArray,
+) {
+    internal val bytes: Int get() = body.size + headers.sumOf { (name, value) -> name.length + value.length }
+}
+
+/** Says whether a call with a key may be handed to the target. */
+sealed interface KeyStart {
+    /** The key is new; end it with [KeyOutcomes.finish] or [KeyOutcomes.abandon]. */
+    data object Started : KeyStart
+
+    /** An earlier call with the key has not ended. */
+    data object Running : KeyStart
+
+    /** An earlier call ended with [answer]. */
+    data class Answered(
+        val answer: KeptAnswer,
+    ) : KeyStart
+
+    /** An earlier call was handed over and its answer is not kept. */
+    data object Ran : KeyStart
+
+    /** The key belongs to a call of another method or path. */
+    data object OtherRequest : KeyStart
+
+    /** The key was refused and the call did not run. */
+    data class Refused(
+        val error: KeyError,
+    ) : KeyStart
+
+    /** Too many keys are remembered; the call did not run. */
+    data object Full : KeyStart
+}
+
+/**
+ * Remembers at the owner node what became of the keys of calls, until their deadlines. Safe for several threads.
+ *
+ * Time never goes back here: after a step of the clock, a forgotten key would count as new. A step forward refuses all
+ * keys until the clock has caught up, so pass the wall time of the start plus the monotonic time since then.
+ */
+class KeyOutcomes(
+    private val limits: KeyOutcomeLimits = KeyOutcomeLimits(),
+) {
+    private class Entry(
+        val key: String,
+        val request: String,
+        val deadlineMillis: Long,
+    ) {
+        var running = true
+        var answer: KeptAnswer? = null
+    }
+
+    private val entries = HashMap<String, Entry>()
+    private val byDeadline = TreeSet<Entry>(compareBy({ it.deadlineMillis }, { it.key }))
+    private val answered = LinkedHashSet<Entry>()
+    private var answerBytes = 0L
+    private var latestMillis = Long.MIN_VALUE
+
+    /** Number of remembered keys. */
+    val size: Int @Synchronized get() = entries.size
+
+    /** Starts a call of [request] (method and path) under [key], unless the key was used before. */
+    @Synchronized
+    fun begin(
+        key: IdempotencyKey,
+        request: String,
+        nowMillis: Long,
+    ): KeyStart {
+        latestMillis = maxOf(latestMillis, nowMillis)
+        forgetExpired()
+        val known = entries[key.text]
+        if (known != null) return repeatOf(known, request)
+        key.checkLifetime(latestMillis).getError()?.let { return KeyStart.Refused(it) }
+        if (entries.size >= limits.maxKeys) return KeyStart.Full
+        val entry = Entry(key.text, request, key.deadlineMillis)
+        entries[key.text] = entry
+        byDeadline.add(entry)
+        return KeyStart.Started
+    }
+
+    /** Ends a call that was handed over; a null or too large [answer] is not kept. */
+    @Synchronized
+    fun finish(
+        key: IdempotencyKey,
+        answer: KeptAnswer?,
+    ) {
+        val entry = entries[key.text]?.takeIf { it.running } ?: return
+        entry.running = false
+        if (answer == null || answer.bytes > limits.maxAnswerBytes) return
+        entry.answer = answer
+        answered.add(entry)
+        answerBytes += answer.bytes
+        while (answerBytes > limits.maxTotalBytes) dropAnswer(answered.first())
+    }
+
+    /** Ends a call that was certainly not handed over; the key may be used again. */
+    @Synchronized
+    fun abandon(key: IdempotencyKey) {
+        val entry = entries[key.text]?.takeIf { it.running } ?: return
+        entries.remove(key.text)
+        byDeadline.remove(entry)
+    }
+
+    private fun repeatOf(
+        entry: Entry,
+        request: String,
+    ): KeyStart {
+        if (entry.request != request) return KeyStart.OtherRequest
+        if (entry.running) return KeyStart.Running
+        return entry.answer?.let { KeyStart.Answered(it) } ?: KeyStart.Ran
+    }
+
+    private fun forgetExpired() {
+        while (byDeadline.isNotEmpty() && byDeadline.first().deadlineMillis <= latestMillis) {
+            val entry = byDeadline.first()
+            byDeadline.remove(entry)
+            entries.remove(entry.key)
+            dropAnswer(entry)
+        }
+    }
+
+    private fun dropAnswer(entry: Entry) {
+        if (!answered.remove(entry)) return
+        answerBytes -= entry.answer?.bytes ?: 0
+        entry.answer = null
+    }
+}
--- /dev/null
+++ b/calls/src/test/kotlin/dev/baobabhollow/calls/KeyOutcomesSpec.kt
@@ -0,0 +1,91 @@
+package dev.baobabhollow.calls
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import org.jetbrains.kotlinx.lincheck.annotations.Operation
+import org.jetbrains.kotlinx.lincheck.check
+import org.jetbrains.kotlinx.lincheck.strategy.managed.modelchecking.ModelCheckingOptions
+
+private const val REQUEST = "POST /orders"
+
+private fun key(
+    deadlineMillis: Long,
+    name: String = "a",
+) = CallerKey("$deadlineMillis-$name", deadlineMillis)
+
+/** Begins, finishes and abandons one key from several threads; every outcome must fit some order of the calls. */
+class KeyOutcomesOperations {
+    private val outcomes = KeyOutcomes()
+    private val key = key(100)
+
+    @Operation
+    fun begin(): String = outcomes.begin(key, REQUEST, 0).toString()
+
+    @Operation
+    fun finish() = outcomes.finish(key, null)
+
+    @Operation
+    fun abandon() = outcomes.abandon(key)
+}
+
+class KeyOutcomesSpec :
+    DescribeSpec({
+        fun answer(bytes: Int) = KeptAnswer(200, emptyList(), ByteArray(bytes))
+
+        describe("the outcomes of keys") {
+            it("start a key once, and again only if its call was not handed over") {
+                val outcomes = KeyOutcomes()
+                outcomes.begin(key(100), REQUEST, 0) shouldBe KeyStart.Started
+                outcomes.begin(key(100), REQUEST, 1) shouldBe KeyStart.Running
+                outcomes.abandon(key(100))
+                outcomes.begin(key(100), REQUEST, 2) shouldBe KeyStart.Started
+                outcomes.finish(key(100), null)
+                outcomes.abandon(key(100))
+                outcomes.begin(key(100), REQUEST, 3) shouldBe KeyStart.Ran
+            }
+
+            it("repeat a small answer, but not to another request") {
+                val outcomes = KeyOutcomes()
+                val kept = answer(10)
+                outcomes.begin(key(100), REQUEST, 0)
+                outcomes.finish(key(100), kept)
+                outcomes.begin(key(100), REQUEST, 1).shouldBeInstanceOf<KeyStart.Answered>().answer shouldBe kept
+                outcomes.begin(key(100), "POST /quotes", 1) shouldBe KeyStart.OtherRequest
+            }
+
+            // Guards against a bound that forgets a key instead of its answer and so lets it run twice.
+            it("forget answers, never keys, when memory is short") {
+                val outcomes = KeyOutcomes(KeyOutcomeLimits(maxKeys = 3, maxAnswerBytes = 10, maxTotalBytes = 10))
+                listOf("a" to 10, "b" to 10, "c" to 11).forEach { (name, bytes) ->
+                    outcomes.begin(key(100, name), REQUEST, 0)
+                    outcomes.finish(key(100, name), answer(bytes))
+                }
+                outcomes.begin(key(100, "a"), REQUEST, 0) shouldBe KeyStart.Ran
+                outcomes.begin(key(100, "b"), REQUEST, 0).shouldBeInstanceOf<KeyStart.Answered>()
+                outcomes.begin(key(100, "c"), REQUEST, 0) shouldBe KeyStart.Ran
+                outcomes.begin(key(100, "d"), REQUEST, 0) shouldBe KeyStart.Full
+                outcomes.begin(key(200, "d"), REQUEST, 100) shouldBe KeyStart.Started
+                outcomes.size shouldBe 1
+            }
+
+            // Guards against a second run after the clock has stepped back over a forgotten key's deadline.
+            it("refuse a forgotten key after a step of the clock") {
+                val outcomes = KeyOutcomes()
+                outcomes.begin(key(100), REQUEST, 0)
+                outcomes.finish(key(100), null)
+                outcomes.begin(key(200, "b"), REQUEST, 150)
+                outcomes.begin(key(100), REQUEST, 50) shouldBe KeyStart.Refused(KeyError.Expired(100))
+            }
+
+            // Guards against two calls that start under one key at the same time.
+            it("are linearizable") {
+                ModelCheckingOptions()
+                    .iterations(8)
+                    .invocationsPerIteration(200)
+                    .threads(2)
+                    .actorsPerThread(2)
+                    .check(KeyOutcomesOperations::class.java)
+            }
+        }
+    })
