--- /dev/null
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/OutcomeWindows.kt
@@ -0,0 +1,88 @@
+package dev.baobabhollow.moves
+
+import dev.baobabhollow.model.FailureDomainId
+import dev.baobabhollow.model.RouteId
+import java.util.TreeMap
+
+/** Names the outcomes of one route in one failure domain. */
+internal data class CellKey(
+    val route: RouteId,
+    val failureDomain: FailureDomainId,
+) : Comparable<CellKey> {
+    override fun compareTo(other: CellKey): Int = compareValuesBy(this, other, { it.route }, { it.failureDomain })
+}
+
+/** Counts calls of one release: [timed] of them have a latency that counts, [slow] and [verySlow] of these are slow. */
+internal data class SideCounts(
+    val calls: Long = 0,
+    val errors: Long = 0,
+    val timed: Long = 0,
+    val slow: Long = 0,
+    val verySlow: Long = 0,
+) {
+    operator fun plus(other: SideCounts) =
+        SideCounts(
+            calls + other.calls,
+            errors + other.errors,
+            timed + other.timed,
+            slow + other.slow,
+            verySlow + other.verySlow,
+        )
+
+    /** Returns the counts without latencies. */
+    fun withoutLatency() = copy(timed = 0, slow = 0, verySlow = 0)
+
+    /** Holds the counts of no calls. */
+    companion object {
+        /** Counts nothing. */
+        val NONE = SideCounts()
+    }
+}
+
+/** Holds the outcomes of one cell and time window that have not been tested yet. */
+internal class CellWindow {
+    var new = SideCounts.NONE
+    var old = SideCounts.NONE
+
+    /** Tells whether a target of the new release shed load in this window. */
+    var sheds = false
+}
+
+/** Sorts outcomes of both releases into time windows of [widthMillis] by cell. */
+internal class OutcomeWindows(
+    val widthMillis: Long,
+) {
+    private val windows = TreeMap<Long, TreeMap<CellKey, CellWindow>>()
+
+    /** Returns the window of [cell] that holds the calls counted until [endsAtMillis]. */
+    fun at(
+        cell: CellKey,
+        endsAtMillis: Long,
+    ): CellWindow {
+        val index = Math.floorDiv(endsAtMillis - 1, widthMillis)
+        return windows.getOrPut(index) { TreeMap() }.getOrPut(cell) { CellWindow() }
+    }
+
+    /** Visits all windows in the order of time with the point in time at which each ends. */
+    fun forEach(visit: (endMillis: Long, cells: Map<CellKey, CellWindow>) -> Unit) =
+        windows.forEach { (index, cells) -> visit((index + 1) * widthMillis, cells) }
+
+    /** Drops the latencies of [routes]; their limits of slow calls have changed. */
+    fun dropLatencies(routes: Set<RouteId>) =
+        windows.values.forEach { cells ->
+            cells.filterKeys { it.route in routes }.values.forEach {
+                it.old = it.old.withoutLatency()
+                it.new = it.new.withoutLatency()
+            }
+        }
+
+    /** Drops the windows that end before [endMillis] or after [latestMillis], and passes them to [drop]. */
+    fun prune(
+        endMillis: Long,
+        latestMillis: Long,
+        drop: (endMillis: Long, cells: Map<CellKey, CellWindow>) -> Unit,
+    ) {
+        val gone = windows.keys.filter { (it + 1) * widthMillis !in endMillis..latestMillis }
+        gone.forEach { index -> windows.remove(index)?.let { drop((index + 1) * widthMillis, it) } }
+    }
+}
