--- /dev/null
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/moves/MoveRun.kt
@@ -0,0 +1,192 @@
+package dev.baobabhollow.bench.moves
+
+import dev.baobabhollow.model.MovePhase
+import dev.baobabhollow.model.MovePlan
+import dev.baobabhollow.model.MoveState
+import dev.baobabhollow.model.OutcomeSummary
+import dev.baobabhollow.moves.MoveDecision
+import dev.baobabhollow.moves.MoveJudge
+import java.util.PriorityQueue
+import java.util.random.RandomGenerator
+
+/** Says how one simulated move went. Times are epoch milliseconds or null if the event did not happen. */
+internal data class MoveOutcome(
+    val isTakenBack: Boolean,
+    val isCompletedInTime: Boolean,
+    val isGivenUp: Boolean,
+    val firstFaultAtMillis: Long?,
+    val visibleAtMillis: Long?,
+    val enoughAtMillis: Long?,
+    val noTrafficAtMillis: Long?,
+    val allCalls: Long,
+    val newCalls: Long,
+    val faultyCalls: Long,
+    val newCallsBeforeVisible: Long,
+    val allCallsBeforeVisible: Long,
+    val faultyCallsBeforeVisible: Long,
+)
+
+private data class Delivery(
+    val atMillis: Long,
+    val summary: OutcomeSummary,
+)
+
+/** Runs one simulated move: [judge] sees delayed, repeated and reordered summaries, [promptJudge] sees them at once. */
+internal class MoveRun(
+    private val plan: MovePlan,
+    private val traffic: SimulatedTraffic,
+    private val knownFault: KnownFaultTest,
+    private val judge: MoveJudge,
+    private val promptJudge: MoveJudge?,
+    private val random: RandomGenerator,
+) {
+    private val deliveries = PriorityQueue<Delivery>(compareBy { it.atMillis })
+    private var state = MoveState(plan, "bench")
+    private var routedPermille = 0
+    private var routedFromMillis = Long.MAX_VALUE
+    private var nextPermille = 0
+    private var enoughAtMillis: Long? = null
+    private var noTrafficAtMillis: Long? = null
+    private var isGivenUp = false
+    private var beforeVisible = Triple(0L, 0L, 0L)
+
+    /** Tells whether no further step changes the outcome. */
+    val isOver: Boolean
+        get() =
+            when (state.phase) {
+                MovePhase.DONE -> true
+                MovePhase.TAKEN_BACK -> noTrafficAtMillis != null
+                else -> false
+            }
+
+    /** Simulates the step that begins at [atMillis] and returns the summaries that the nodes send at its end. */
+    fun step(atMillis: Long): List<OutcomeSummary> {
+        if (atMillis >= routedFromMillis) route(atMillis)
+        traffic.step(atMillis, routedPermille)
+        if (knownFault.provenAtMillis == null) {
+            beforeVisible = Triple(traffic.newCalls, traffic.allCalls, traffic.faultyCalls)
+        }
+        return traffic.summaries(atMillis + SimulatedTraffic.STEP_MILLIS)
+    }
+
+    private fun route(atMillis: Long) {
+        routedPermille = nextPermille
+        routedFromMillis = Long.MAX_VALUE
+        if (state.phase == MovePhase.TAKEN_BACK) noTrafficAtMillis = atMillis
+    }
+
+    /** Passes on [summaries], which end at [nowMillis], and lets the judges decide. */
+    fun decide(
+        summaries: List<OutcomeSummary>,
+        nowMillis: Long,
+    ) {
+        summaries.forEach { send(it, nowMillis) }
+        while (deliveries.isNotEmpty() &&
+            deliveries.peek().atMillis <= nowMillis
+        ) {
+            judge.observe(deliveries.poll().summary)
+        }
+        decidePromptly(summaries, nowMillis)
+        if (state.phase.isFinal) return
+        when (val decision = judge.decide(state, nowMillis)) {
+            is MoveDecision.Hold -> Unit
+            is MoveDecision.Advance -> enter(phaseOf(decision.sharePermille), decision.sharePermille, nowMillis)
+            is MoveDecision.Finish -> enter(MovePhase.DONE, FULL, nowMillis)
+            is MoveDecision.TakeBack -> takeBack(decision, nowMillis)
+        }
+    }
+
+    private fun send(
+        summary: OutcomeSummary,
+        nowMillis: Long,
+    ) {
+        val isLate = random.nextDouble() < LATE_SHARE
+        val delay =
+            if (isLate) {
+                random.nextLong(
+                    MAX_LATE_MILLIS,
+                )
+            } else {
+                random.nextLong(MIN_DELAY_MILLIS, MAX_DELAY_MILLIS)
+            }
+        deliveries += Delivery(nowMillis + delay, summary)
+        if (random.nextDouble() < REPEAT_SHARE) {
+            deliveries += Delivery(nowMillis + delay + random.nextLong(MAX_LATE_MILLIS), summary)
+        }
+    }
+
+    private fun decidePromptly(
+        summaries: List<OutcomeSummary>,
+        nowMillis: Long,
+    ) {
+        if (promptJudge == null || enoughAtMillis != null) return
+        summaries.forEach(promptJudge::observe)
+        if (summaries.isEmpty() || state.phase.isFinal) return
+        val decision = promptJudge.decide(state, nowMillis)
+        if (decision is MoveDecision.TakeBack &&
+            isFault(decision)
+        ) {
+            enoughAtMillis = nowMillis - SimulatedTraffic.SUMMARY_MILLIS
+        }
+    }
+
+    private fun isFault(decision: MoveDecision.TakeBack) = decision.evidence.detail.isNotEmpty()
+
+    private fun takeBack(
+        decision: MoveDecision.TakeBack,
+        nowMillis: Long,
+    ) {
+        isGivenUp = !isFault(decision)
+        enter(MovePhase.TAKEN_BACK, 0, nowMillis)
+    }
+
+    private fun phaseOf(sharePermille: Int) = if (sharePermille == FULL) MovePhase.WATCHING else MovePhase.RAMPING
+
+    private fun enter(
+        phase: MovePhase,
+        sharePermille: Int,
+        nowMillis: Long,
+    ) {
+        state =
+            state.copy(
+                stage = state.stage + 1,
+                phase = phase,
+                sharePermille = sharePermille,
+                stageAtMillis = nowMillis,
+                fullShareAtMillis = if (phase == MovePhase.WATCHING) nowMillis else state.fullShareAtMillis,
+            )
+        nextPermille = sharePermille
+        routedFromMillis = nowMillis + SPREAD_MILLIS
+    }
+
+    /** Returns how the move went. */
+    fun outcome(): MoveOutcome =
+        MoveOutcome(
+            isTakenBack = state.phase == MovePhase.TAKEN_BACK,
+            isCompletedInTime =
+                state.phase == MovePhase.DONE && (state.fullShareAtMillis ?: Long.MAX_VALUE) <= plan.completeByMillis,
+            isGivenUp = isGivenUp,
+            firstFaultAtMillis = traffic.firstFaultAtMillis,
+            visibleAtMillis = knownFault.provenAtMillis,
+            enoughAtMillis = enoughAtMillis,
+            noTrafficAtMillis = noTrafficAtMillis,
+            allCalls = traffic.allCalls,
+            newCalls = traffic.newCalls,
+            faultyCalls = traffic.faultyCalls,
+            newCallsBeforeVisible = beforeVisible.first,
+            allCallsBeforeVisible = beforeVisible.second,
+            faultyCallsBeforeVisible = beforeVisible.third,
+        )
+
+    private companion object {
+        const val FULL = 1_000
+
+        /** Time until all nodes route by a new stage: one log append and its distribution. */
+        const val SPREAD_MILLIS = 250L
+        const val MIN_DELAY_MILLIS = 10L
+        const val MAX_DELAY_MILLIS = 250L
+        const val LATE_SHARE = 0.02
+        const val MAX_LATE_MILLIS = 3_000L
+        const val REPEAT_SHARE = 0.02
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/moves/MovesReport.kt
@@ -0,0 +1,99 @@
+package dev.baobabhollow.bench.moves
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+
+/** Holds the figures of one judge over the moves of one kind. Shares are fractions, times are seconds. */
+@Serializable
+data class MoveFigures(
+    val completedInTime: Double,
+    val takenBack: Double,
+    val givenUp: Double,
+    val newCallShare: Double,
+    val newCalls: Double,
+    val shareBeforeVisible: Double?,
+    val faultyCallsBeforeVisible: Double,
+    val faultToNoTrafficP50: Double?,
+    val faultToNoTrafficP99: Double?,
+    val visibleToNoTrafficP50: Double?,
+    val visibleToNoTrafficP99: Double?,
+    val enoughToNoTrafficP50: Double?,
+    val enoughToNoTrafficP99: Double?,
+    val enoughWithin2Seconds: Double?,
+    val neverVisible: Double,
+)
+
+/** Holds the figures of one kind of move. */
+@Serializable
+data class MovesRow(
+    val kind: MoveKind,
+    val judged: MoveFigures,
+    val baseline: MoveFigures,
+)
+
+/** Reports a run of the bench. */
+@Serializable
+data class MovesReport(
+    val member: BenchMember,
+    val moves: Int,
+    val seed: Long,
+    val seconds: Double,
+    val rows: List<MovesRow>,
+) {
+    /** Returns the report as JSON. */
+    fun toJson(): String = JSON.encodeToString(serializer(), this)
+
+    private companion object {
+        val JSON = Json { prettyPrint = true }
+    }
+}
+
+internal fun summarize(
+    kind: MoveKind,
+    pairs: List<MovePair>,
+): MovesRow = MovesRow(kind, figures(pairs.map { it.judged }), figures(pairs.map { it.baseline }))
+
+private fun figures(outcomes: List<MoveOutcome>): MoveFigures {
+    val count = outcomes.size.toDouble()
+    val fault = outcomes.mapNotNull { seconds(it.firstFaultAtMillis, it.noTrafficAtMillis) }
+    val visible = outcomes.mapNotNull { seconds(it.visibleAtMillis, it.noTrafficAtMillis) }
+    val enough = outcomes.mapNotNull { seconds(it.enoughAtMillis, it.noTrafficAtMillis) }
+    val allBefore = outcomes.sumOf { it.allCallsBeforeVisible }
+    return MoveFigures(
+        completedInTime = outcomes.count { it.isCompletedInTime } / count,
+        takenBack = outcomes.count { it.isTakenBack } / count,
+        givenUp = outcomes.count { it.isGivenUp } / count,
+        newCallShare = outcomes.sumOf { it.newCalls }.toDouble() / outcomes.sumOf { it.allCalls }.coerceAtLeast(1),
+        newCalls = outcomes.sumOf { it.newCalls } / count,
+        shareBeforeVisible =
+            if (allBefore ==
+                0L
+            ) {
+                null
+            } else {
+                outcomes.sumOf { it.newCallsBeforeVisible }.toDouble() / allBefore
+            },
+        faultyCallsBeforeVisible = outcomes.sumOf { it.faultyCallsBeforeVisible } / count,
+        faultToNoTrafficP50 = quantile(fault, MEDIAN),
+        faultToNoTrafficP99 = quantile(fault, P99),
+        visibleToNoTrafficP50 = quantile(visible, MEDIAN),
+        visibleToNoTrafficP99 = quantile(visible, P99),
+        enoughToNoTrafficP50 = quantile(enough, MEDIAN),
+        enoughToNoTrafficP99 = quantile(enough, P99),
+        enoughWithin2Seconds = if (enough.isEmpty()) null else enough.count { it <= 2.0 }.toDouble() / enough.size,
+        neverVisible = outcomes.count { it.visibleAtMillis == null } / count,
+    )
+}
+
+private fun seconds(
+    fromMillis: Long?,
+    toMillis: Long?,
+): Double? = if (fromMillis == null || toMillis == null) null else (toMillis - fromMillis) / 1e3
+
+private fun quantile(
+    values: List<Double>,
+    quantile: Double,
+): Double? = values.sorted().getOrNull(((values.size - 1) * quantile).toInt())
+
+private const val MEDIAN = 0.5
+private const val P99 = 0.99
--- /dev/null
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/moves/ThresholdJudge.kt
@@ -0,0 +1,74 @@
+package dev.baobabhollow.bench.moves
+
+import dev.baobabhollow.model.FULL_SHARE_PERMILLE
+import dev.baobabhollow.model.MoveEvidence
+import dev.baobabhollow.model.MovePhase
+import dev.baobabhollow.model.MoveState
+import dev.baobabhollow.model.OutcomeSummary
+import dev.baobabhollow.moves.MoveDecision
+import dev.baobabhollow.moves.MoveJudge
+
+/** The baseline: fixed steps at fixed times, and a plain threshold on the errors of the last seconds. */
+internal class ThresholdJudge : MoveJudge {
+    private val recent = ArrayDeque<OutcomeSummary>()
+    private val early = ArrayList<OutcomeSummary>()
+    private var move: MoveState? = null
+
+    override fun observe(summary: OutcomeSummary) {
+        val plan = move?.plan
+        if (plan == null) {
+            early += summary
+        } else if (summary.service == plan.service && summary.release == plan.to) {
+            recent.addLast(summary)
+        }
+    }
+
+    override fun decide(
+        move: MoveState,
+        nowMillis: Long,
+    ): MoveDecision {
+        if (this.move == null) {
+            this.move = move
+            early.forEach(::observe)
+            early.clear()
+        }
+        recent.removeAll { it.endsAtMillis < nowMillis - WINDOW_MILLIS }
+        val calls = recent.sumOf { it.calls }
+        val errors = recent.sumOf { it.errors }
+        val evidence = MoveEvidence(calls, errors, 0, 0)
+        return when {
+            calls >= MIN_CALLS && errors > calls * MAX_ERROR_SHARE -> MoveDecision.TakeBack("errors", evidence)
+            move.phase == MovePhase.WATCHING -> finish(move, nowMillis, evidence)
+            else -> advance(move, nowMillis, evidence)
+        }
+    }
+
+    private fun finish(
+        move: MoveState,
+        nowMillis: Long,
+        evidence: MoveEvidence,
+    ) = if (nowMillis >= move.plan.watchUntilMillis) {
+        MoveDecision.Finish("watched", evidence)
+    } else {
+        MoveDecision.Hold("watches")
+    }
+
+    private fun advance(
+        move: MoveState,
+        nowMillis: Long,
+        evidence: MoveEvidence,
+    ): MoveDecision {
+        val span = (move.plan.completeByMillis - move.plan.startAtMillis) * USED_SHARE
+        val progress = ((nowMillis - move.plan.startAtMillis) / span * STEPS.size).toInt()
+        val due = if (nowMillis < move.plan.startAtMillis) 0 else STEPS[progress.coerceIn(0, STEPS.lastIndex)]
+        return if (due > move.sharePermille) MoveDecision.Advance(due, "step", evidence) else MoveDecision.Hold("waits")
+    }
+
+    private companion object {
+        val STEPS = listOf(10, 50, 100, 250, 500, FULL_SHARE_PERMILLE)
+        const val USED_SHARE = 0.9
+        const val WINDOW_MILLIS = 10_000L
+        const val MIN_CALLS = 20L
+        const val MAX_ERROR_SHARE = 0.05
+    }
+}
