--- a/bench/src/main/kotlin/dev/baobabhollow/bench/moves/SimulatedTraffic.kt
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/moves/SimulatedTraffic.kt
@@ -6,6 +6,7 @@
 import dev.baobabhollow.model.NodeId
 import dev.baobabhollow.model.OutcomeSummary
 import dev.baobabhollow.model.RouteId
+import dev.baobabhollow.model.ServiceId
 import java.util.random.RandomGenerator
 import kotlin.math.exp
 import kotlin.math.ln
@@ -20,16 +21,22 @@
 
 /** Holds one target with its node. [phase] spreads the nodes' summaries over time. */
 private class SimulatedTarget(
+    service: ServiceId,
     val domain: Int,
     val isNew: Boolean,
     val phase: Long,
     routes: Int,
 ) {
+    val node = NodeId("$service-$domain-${if (isNew) "new" else "old"}")
+    val failureDomain = FailureDomainId("domain-$domain")
     val tallies = List(routes) { Tally() }
     var callsBefore = 0L
 }
 
-/** Simulates calls of one service and the outcomes that the targets of both releases give. */
+/**
+ * Simulates calls of one service and the outcomes that the targets of both releases give. Without [countsLatency] the
+ * summaries hold no latencies, which saves time where nothing reads them.
+ */
 internal class SimulatedTraffic(
     private val traffic: ServiceTraffic,
     private val plan: MovePlan,
@@ -37,13 +44,15 @@
     private val domains: Int,
     private val conditions: SimulatedConditions,
     private val knownFault: KnownFaultTest,
+    private val countsLatency: Boolean,
     private val random: RandomGenerator,
 ) {
+    private val routes = traffic.routes.map { RouteId(it.name) }
     private val targets =
         (0 until domains).flatMap { domain ->
             listOf(false, true).map { isNew ->
                 val phase = random.nextLong(SUMMARY_MILLIS / STEP_MILLIS) * STEP_MILLIS
-                SimulatedTarget(domain, isNew, phase, traffic.routes.size)
+                SimulatedTarget(plan.service, domain, isNew, phase, traffic.routes.size)
             }
         }
 
@@ -123,7 +132,7 @@
         val factor = loadFactor * fault.slowFactor * around.slowFactor
         tally.calls++
         if (isError) tally.errors++
-        tally.latencies.record((route.medianMicros * factor * exp(route.sigma * deviate)).toLong())
+        if (countsLatency) tally.latencies.record((route.medianMicros * factor * exp(route.sigma * deviate)).toLong())
         if (atMillis >= plan.startAtMillis) allCalls++
         if (target.isNew) countNew(target, route, fault, isError, deviate, atMillis)
     }
@@ -170,10 +179,10 @@
         if (tally.calls + tally.shed == 0L) return null
         val summary =
             OutcomeSummary(
-                NodeId("${plan.service}-${target.domain}-${if (target.isNew) "new" else "old"}"),
-                FailureDomainId("domain-${target.domain}"),
+                target.node,
+                target.failureDomain,
                 plan.service,
-                RouteId(traffic.routes[routeIndex].name),
+                routes[routeIndex],
                 if (target.isNew) plan.to else plan.from,
                 nowMillis,
                 tally.calls,
@@ -181,7 +190,7 @@
                 tally.shed,
                 tally.latencies.encode(),
             )
-        tally.latencies.reset()
+        if (countsLatency) tally.latencies.reset()
         tally.calls = 0
         tally.errors = 0
         tally.shed = 0
--- a/bench/src/main/kotlin/dev/baobabhollow/bench/moves/ThresholdJudge.kt
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/moves/ThresholdJudge.kt
@@ -13,6 +13,8 @@
     private val recent = ArrayDeque<OutcomeSummary>()
     private val early = ArrayList<OutcomeSummary>()
     private var move: MoveState? = null
+    private var calls = 0L
+    private var errors = 0L
 
     override fun observe(summary: OutcomeSummary) {
         val plan = move?.plan
@@ -20,6 +22,8 @@
             early += summary
         } else if (summary.service == plan.service && summary.release == plan.to) {
             recent.addLast(summary)
+            calls += summary.calls
+            errors += summary.errors
         }
     }
 
@@ -32,9 +36,11 @@
             early.forEach(::observe)
             early.clear()
         }
-        recent.removeAll { it.endsAtMillis < nowMillis - WINDOW_MILLIS }
-        val calls = recent.sumOf { it.calls }
-        val errors = recent.sumOf { it.errors }
+        while (recent.isNotEmpty() && recent.first().endsAtMillis < nowMillis - WINDOW_MILLIS) {
+            val old = recent.removeFirst()
+            calls -= old.calls
+            errors -= old.errors
+        }
         val evidence = MoveEvidence(calls, errors, 0, 0)
         return when {
             calls >= MIN_CALLS && errors > calls * MAX_ERROR_SHARE -> MoveDecision.TakeBack("errors", evidence)
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/FaultEvidence.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/FaultEvidence.kt
@@ -35,6 +35,12 @@
     val counts: PairedCounts,
 )
 
+/** Holds the logarithm of the combined e-value of all tests, and the strongest finding if the release is condemned. */
+internal data class Assessment(
+    val logEvidence: Double,
+    val fault: Finding?,
+)
+
 /**
  * Combines the tests of all routes and metrics of one move.
  *
@@ -53,6 +59,12 @@
         val unpaired = Metric.entries.associateWith { SequentialTest(it.alternatives) }
     }
 
+    private class Candidate(
+        val logEvidence: Double,
+        val finding: Finding,
+        val test: SequentialTest,
+    )
+
     private val tests = TreeMap<RouteId, RouteTests>()
     private val domains = HashSet<FailureDomainId>()
     private var invested = INITIAL_CAPITAL
@@ -136,33 +148,42 @@
         return (1 - EQUAL_WEIGHT) / (position.toDouble() * (position + 1))
     }
 
-    /** Returns the logarithm of the combined e-value of all tests. */
-    fun logEvidence(): Double = ln(candidates().sumOf { exp(it.first.coerceAtMost(MAX_LOG)) })
-
-    /** Returns the strongest finding if the release is condemned, else null. */
-    fun findFault(): Finding? {
-        val credible = candidates().filter { it.first > LEAST_LOG }.filter { isCredible(it.second, it.third) }
-        val sum = credible.sumOf { exp(it.first.coerceAtMost(MAX_LOG)) }
-        return if (sum >= 1 / policy.falseAlarmRate) credible.maxBy { it.first }.second else null
+    /** Weighs all tests by what they have seen so far. */
+    fun assess(): Assessment {
+        val all = candidates()
+        val credible = all.filter { it.logEvidence > LEAST_LOG && isCredible(it) }
+        val isCondemned = sumOf(credible) >= 1 / policy.falseAlarmRate
+        return Assessment(
+            logEvidence = ln(sumOf(all)),
+            fault = if (isCondemned) credible.maxBy { it.logEvidence }.finding else null,
+        )
     }
 
-    private fun candidates(): List<Triple<Double, Finding, SequentialTest>> =
+    private fun sumOf(candidates: List<Candidate>) = candidates.sumOf { exp(it.logEvidence.coerceAtMost(MAX_LOG)) }
+
+    private fun candidates(): List<Candidate> =
         tests.flatMap { (route, group) ->
             Metric.entries.flatMap { metric ->
-                listOf(true, false).map { isPaired ->
-                    val test = (if (isPaired) group.paired else group.unpaired).getValue(metric)
-                    val share = if (isPaired) PAIRED_WEIGHT else 1 - PAIRED_WEIGHT
-                    val logWeight = ln(group.weight * metric.weight * share)
-                    Triple(logWeight + test.logEvidence(), Finding(route, metric, isPaired, test.segment), test)
-                }
+                val pairedWeight = group.weight * metric.weight * PAIRED_WEIGHT
+                val unpairedWeight = group.weight * metric.weight * (1 - PAIRED_WEIGHT)
+                listOf(
+                    candidate(route, metric, true, group.paired.getValue(metric), pairedWeight),
+                    candidate(route, metric, false, group.unpaired.getValue(metric), unpairedWeight),
+                )
             }
         }
 
-    /** A difference must also matter, and must not come from one ill domain or target alone. */
-    private fun isCredible(
-        finding: Finding,
+    private fun candidate(
+        route: RouteId,
+        metric: Metric,
+        isPaired: Boolean,
         test: SequentialTest,
-    ): Boolean {
+        weight: Double,
+    ) = Candidate(ln(weight) + test.logEvidence(), Finding(route, metric, isPaired, test.segment), test)
+
+    /** A difference must also matter, and must not come from one ill domain or target alone. */
+    private fun isCredible(candidate: Candidate): Boolean {
+        val finding = candidate.finding
         val counts = finding.counts
         val share = counts.newHits.toDouble() / counts.newCalls.coerceAtLeast(1)
         val least =
@@ -171,7 +192,7 @@
                 Metric.SLOW -> REFERENCE_FACTOR * RouteReference.SLOW_SHARE
                 Metric.VERY_SLOW -> REFERENCE_FACTOR * RouteReference.VERY_SLOW_SHARE
             }
-        return share >= least && test.isSpread(if (finding.isPaired) 1 else domains.size / 2)
+        return share >= least && candidate.test.isSpread(if (finding.isPaired) 1 else domains.size / 2)
     }
 
     private companion object {
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/OutcomeIntake.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/OutcomeIntake.kt
@@ -28,6 +28,7 @@
 
     private val seen = TreeMap<Long, MutableSet<SummaryKey>>()
     private var forgottenBeforeMillis = Long.MIN_VALUE
+    private val scratch = LatencyHistogram()
     private val warmUps = HashMap<NodeId, WarmUp>()
 
     /** Holds the outcomes that have not been tested yet. */
@@ -63,7 +64,8 @@
     /** A histogram that cannot be decoded, or counts more values than calls, costs its latencies but not the errors. */
     private fun decodeLatency(summary: OutcomeSummary): LatencyHistogram? =
         try {
-            LatencyHistogram.decode(summary.latency).takeIf { it.count <= summary.calls }
+            scratch.load(summary.latency)
+            scratch.takeIf { it.count <= summary.calls }
         } catch (_: IllegalArgumentException) {
             null
         }
@@ -75,7 +77,7 @@
         val reference = references.getOrPut(summary.route) { RouteReference() }
         val window = windows.at(CellKey(summary.route, summary.failureDomain), summary.endsAtMillis)
         window.old += countSide(summary, latency, reference)
-        reference.add(summary.calls, summary.errors, latency ?: LatencyHistogram())
+        reference.add(summary.calls, summary.errors, summary.latency.takeIf { latency != null })
     }
 
     private fun addNew(
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/RouteReference.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/RouteReference.kt
@@ -24,15 +24,15 @@
     var errors = 0L
         private set
 
-    /** Adds outcomes of the old release. */
+    /** Adds outcomes of the old release; [encodedLatencies] is null if they cannot be decoded. */
     fun add(
         calls: Long,
         errors: Long,
-        histogram: LatencyHistogram,
+        encodedLatencies: ByteArray?,
     ) {
         this.calls += calls
         this.errors += errors
-        latencies.merge(histogram)
+        encodedLatencies?.let(latencies::mergeEncoded)
     }
 
     /**
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/SequentialMoveJudge.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/SequentialMoveJudge.kt
@@ -51,13 +51,14 @@
         current.evidence.investUntil(elapsedShare(move, nowMillis))
         current.comparison.advance(move.sharePermille, nowMillis)
         current.intake.forgetBefore(nowMillis - MEMORY_MILLIS)
-        current.evidence.findFault()?.let { return condemn(current, it) }
+        val assessment = current.evidence.assess()
+        assessment.fault?.let { return condemn(current, it) }
         return if (move.phase ==
             MovePhase.WATCHING
         ) {
             watch(current, move, nowMillis)
         } else {
-            advance(current, move, nowMillis)
+            advance(current, move, assessment, nowMillis)
         }
     }
 
@@ -104,6 +105,7 @@
     private fun advance(
         session: Session,
         move: MoveState,
+        assessment: Assessment,
         nowMillis: Long,
     ): MoveDecision {
         val calls =
@@ -116,7 +118,7 @@
         val routeCalls =
             session.intake.references.keys
                 .associateWith { session.intake.newCalls[it] ?: 0L }
-        val isSuspect = session.evidence.logEvidence() >= ln(SUSPECT_EVIDENCE)
+        val isSuspect = assessment.logEvidence >= ln(SUSPECT_EVIDENCE)
         return when (
             val step =
                 ramp.next(
