--- a/bench/src/main/kotlin/dev/baobabhollow/bench/moves/MoveRun.kt
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/moves/MoveRun.kt
@@ -14,6 +14,7 @@
     val isTakenBack: Boolean,
     val isCompletedInTime: Boolean,
     val isGivenUp: Boolean,
+    val reason: String,
     val firstFaultAtMillis: Long?,
     val visibleAtMillis: Long?,
     val enoughAtMillis: Long?,
@@ -89,10 +90,26 @@
         decidePromptly(summaries, nowMillis)
         if (state.phase.isFinal) return
         when (val decision = judge.decide(state, nowMillis)) {
-            is MoveDecision.Hold -> Unit
-            is MoveDecision.Advance -> enter(phaseOf(decision.sharePermille), decision.sharePermille, nowMillis)
-            is MoveDecision.Finish -> enter(MovePhase.DONE, FULL, nowMillis)
-            is MoveDecision.TakeBack -> takeBack(decision, nowMillis)
+            is MoveDecision.Hold -> {
+                Unit
+            }
+
+            is MoveDecision.Advance -> {
+                enter(
+                    phaseOf(decision.sharePermille),
+                    decision.sharePermille,
+                    decision.reason,
+                    nowMillis,
+                )
+            }
+
+            is MoveDecision.Finish -> {
+                enter(MovePhase.DONE, FULL, decision.reason, nowMillis)
+            }
+
+            is MoveDecision.TakeBack -> {
+                takeBack(decision, nowMillis)
+            }
         }
     }
 
@@ -137,7 +154,7 @@
         nowMillis: Long,
     ) {
         isGivenUp = !isFault(decision)
-        enter(MovePhase.TAKEN_BACK, 0, nowMillis)
+        enter(MovePhase.TAKEN_BACK, 0, decision.reason, nowMillis)
     }
 
     private fun phaseOf(sharePermille: Int) = if (sharePermille == FULL) MovePhase.WATCHING else MovePhase.RAMPING
@@ -145,6 +162,7 @@
     private fun enter(
         phase: MovePhase,
         sharePermille: Int,
+        reason: String,
         nowMillis: Long,
     ) {
         state =
@@ -153,6 +171,7 @@
                 phase = phase,
                 sharePermille = sharePermille,
                 stageAtMillis = nowMillis,
+                reason = reason,
                 fullShareAtMillis = if (phase == MovePhase.WATCHING) nowMillis else state.fullShareAtMillis,
             )
         nextPermille = sharePermille
@@ -166,6 +185,7 @@
             isCompletedInTime =
                 state.phase == MovePhase.DONE && (state.fullShareAtMillis ?: Long.MAX_VALUE) <= plan.completeByMillis,
             isGivenUp = isGivenUp,
+            reason = state.reason,
             firstFaultAtMillis = traffic.firstFaultAtMillis,
             visibleAtMillis = knownFault.provenAtMillis,
             enoughAtMillis = enoughAtMillis,
--- a/bench/src/main/kotlin/dev/baobabhollow/bench/moves/MovesReport.kt
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/moves/MovesReport.kt
@@ -3,7 +3,14 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 
-/** Holds the figures of one judge over the moves of one kind. Shares are fractions, times are seconds. */
+/**
+ * Holds the figures of one judge over the moves of one kind. Shares are fractions, times are seconds.
+ *
+ * A fault is visible once a test that knows it ([KnownFaultTest]) has proven it, and there is enough evidence once the
+ * judge that sees each summary without delay condemns the release. [shareBeforeVisible] is the part of the calls until
+ * then that went to a release that is bad from the start; for faults that begin later it is the part of all calls of the
+ * move that met the fault until then. [wrongReasons] holds the last reasons of some wrongly decided moves.
+ */
 @Serializable
 data class MoveFigures(
     val completedInTime: Double,
@@ -21,6 +28,7 @@
     val enoughToNoTrafficP99: Double?,
     val enoughWithin2Seconds: Double?,
     val neverVisible: Double,
+    val wrongReasons: List<String>,
 )
 
 /** Holds the figures of one kind of move. */
@@ -51,14 +59,26 @@
 internal fun summarize(
     kind: MoveKind,
     pairs: List<MovePair>,
-): MovesRow = MovesRow(kind, figures(pairs.map { it.judged }), figures(pairs.map { it.baseline }))
+): MovesRow = MovesRow(kind, figures(kind, pairs.map { it.judged }), figures(kind, pairs.map { it.baseline }))
 
-private fun figures(outcomes: List<MoveOutcome>): MoveFigures {
+private fun isWrong(
+    kind: MoveKind,
+    outcome: MoveOutcome,
+) = if (kind.isBad) !outcome.isTakenBack else !outcome.isCompletedInTime
+
+private fun figures(
+    kind: MoveKind,
+    outcomes: List<MoveOutcome>,
+): MoveFigures {
     val count = outcomes.size.toDouble()
     val fault = outcomes.mapNotNull { seconds(it.firstFaultAtMillis, it.noTrafficAtMillis) }
     val visible = outcomes.mapNotNull { seconds(it.visibleAtMillis, it.noTrafficAtMillis) }
     val enough = outcomes.mapNotNull { seconds(it.enoughAtMillis, it.noTrafficAtMillis) }
-    val allBefore = outcomes.sumOf { it.allCallsBeforeVisible }
+    val callsBefore =
+        outcomes.sumOf {
+            if (kind.isBadFromStart) it.newCallsBeforeVisible else it.faultyCallsBeforeVisible
+        }
+    val allBefore = outcomes.sumOf { if (kind.isBadFromStart) it.allCallsBeforeVisible else it.allCalls }
     return MoveFigures(
         completedInTime = outcomes.count { it.isCompletedInTime } / count,
         takenBack = outcomes.count { it.isTakenBack } / count,
@@ -82,6 +102,7 @@
         enoughToNoTrafficP99 = quantile(enough, P99),
         enoughWithin2Seconds = if (enough.isEmpty()) null else enough.count { it <= 2.0 }.toDouble() / enough.size,
         neverVisible = outcomes.count { it.visibleAtMillis == null } / count,
+        wrongReasons = outcomes.filter { isWrong(kind, it) }.map { it.reason }.take(KEPT_REASONS),
     )
 }
 
@@ -96,4 +117,5 @@
 ): Double? = values.sorted().getOrNull(((values.size - 1) * quantile).toInt())
 
 private const val MEDIAN = 0.5
+private const val KEPT_REASONS = 5
 private const val P99 = 0.99
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/FaultEvidence.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/FaultEvidence.kt
@@ -5,6 +5,7 @@
 import java.util.TreeMap
 import kotlin.math.exp
 import kotlin.math.ln
+import kotlin.math.max
 
 /** Names what is compared on a route. [nullShare] is the old release's share of hits where it is known by definition. */
 internal enum class Metric(
@@ -92,17 +93,17 @@
         }
     }
 
-    /** Compares the new release in one cell with what the old release did earlier. */
+    /** Compares the new release in one cell, in the window that ends at [endMillis], with what the old release did. */
     fun compareWithReference(
         cell: CellKey,
         new: SideCounts,
+        endMillis: Long,
     ) {
         domains += cell.failureDomain
-        val reference = references[cell.route]
         for ((metric, test) in testsOf(cell.route).unpaired) {
             val counts = PairedCounts(metric.calls(new), metric.hits(new), 0, 0)
             if (counts.newCalls == 0L) continue
-            val nullShare = referenceShare(metric, reference)
+            val nullShare = referenceShare(metric, references[cell.route], endMillis)
             test.update(
                 cell.failureDomain,
                 counts,
@@ -111,25 +112,20 @@
         }
     }
 
-    /** The traffic of another time differs, so the limit is twice the old release's share plus a constant. */
+    /**
+     * The traffic of another time and domain differs, so the limit is twice the old release's share plus a constant. It
+     * also rises with the old release's hits in the latest windows, so that what harms both releases is no evidence.
+     */
     private fun referenceShare(
         metric: Metric,
         reference: RouteReference?,
-    ): Double =
-        when (metric) {
-            Metric.ERRORS -> {
-                val limit = reference?.errorLimit() ?: UNKNOWN_ERROR_SHARE
-                (REFERENCE_FACTOR * limit + REFERENCE_ERROR_MARGIN).coerceAtMost(MAX_NULL_SHARE)
-            }
-
-            Metric.SLOW -> {
-                REFERENCE_FACTOR * RouteReference.SLOW_SHARE
-            }
-
-            Metric.VERY_SLOW -> {
-                REFERENCE_FACTOR * RouteReference.VERY_SLOW_SHARE
-            }
-        }
+        endMillis: Long,
+    ): Double {
+        if (reference == null) return UNKNOWN_SHARE
+        val latest = reference.latestHitShare(metric, endMillis - LATEST_MILLIS, endMillis)
+        val margin = if (metric == Metric.ERRORS) REFERENCE_ERROR_MARGIN else 0.0
+        return (REFERENCE_FACTOR * max(reference.hitLimit(metric), latest) + margin).coerceAtMost(MAX_NULL_SHARE)
+    }
 
     private fun tolerance(metric: Metric) =
         if (metric == Metric.ERRORS) policy.errorOddsTolerance else policy.latencyOddsTolerance
@@ -203,8 +199,9 @@
         const val EQUAL_WEIGHT = 0.9
         const val REFERENCE_FACTOR = 2.0
         const val REFERENCE_ERROR_MARGIN = 0.005
-        const val UNKNOWN_ERROR_SHARE = 0.05
-        const val MAX_NULL_SHARE = 0.6
+        const val UNKNOWN_SHARE = 0.1
+        const val LATEST_MILLIS = 5_000L
+        const val MAX_NULL_SHARE = 0.95
         const val MAX_LOG = 600.0
         const val LEAST_LOG = -3.0
     }
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/MovePolicy.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/MovePolicy.kt
@@ -7,7 +7,7 @@
  *
  * [falseAlarmRate] bounds the probability that one judge takes back a release that is no worse than the old one.
  * [rampPermille] lists the shares of the new release before the full share; the first applies while it is unproven.
- * [provenCalls] calls in all and [provenRouteCalls] calls on each route make a release proven; [minProvenCalls] in all are
+ * [provenCalls] calls in all, [provenRouteCalls] calls on each route and [provenTimedCalls] calls after warm-up make a release proven; [minProvenCalls] in all are
  * enough when the time for proving ([provingShare] of the time to the deadline) is over. [stepCalls] calls and
  * [stepMillis] are needed at each further share. [marginShare] of the time to the deadline is kept free.
  * [windowMillis] is the length of the time windows in which the releases are compared, [graceMillis] the wait for late
@@ -18,9 +18,10 @@
     val falseAlarmRate: Double = 0.001,
     val rampPermille: List<Int> = listOf(UNPROVEN_PERMILLE, 50, 150, 400, 800),
     val provenCalls: Long = 300,
-    val provenRouteCalls: Long = 40,
+    val provenRouteCalls: Long = 20,
+    val provenTimedCalls: Long = 100,
     val minProvenCalls: Long = 30,
-    val provingShare: Double = 0.5,
+    val provingShare: Double = 0.75,
     val stepCalls: Long = 100,
     val stepMillis: Long = 5_000,
     val marginShare: Double = 0.1,
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/OutcomeComparison.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/OutcomeComparison.kt
@@ -3,11 +3,12 @@
 import dev.baobabhollow.model.FailureDomainId
 
 /**
- * Pairs the outcomes of both releases by time window and cell and passes them to [evidence].
+ * Passes the outcomes of the new release to [evidence], beside those of the old one in the same cell and time window and
+ * once more against the reference.
  *
- * Outcomes that find no counterpart in their window move on to longer windows, and from these to the comparison with the
- * reference. Which outcomes are compared depends on numbers of calls and times alone, never on errors or latencies, so
- * every comparison is a fair bet under the null hypothesis.
+ * Cells with too few calls of the old release for a useful comparison move on to longer windows. Which outcomes are
+ * compared depends on numbers of calls and times alone, never on errors or latencies, so every comparison is a fair bet
+ * under the null hypothesis.
  */
 internal class OutcomeComparison(
     private val policy: MovePolicy,
@@ -23,18 +24,19 @@
     ) {
         val expectedOldShare = 1 - sharePermille / FULL_PERMILLE
         intake.windows.forEach { end, cells ->
-            val isClosed = end + policy.graceMillis <= nowMillis
             val shedding = sheddingDomains(cells)
+            val isClosed = end + policy.graceMillis <= nowMillis
             cells.forEach { (cell, window) ->
-                if (isClosed || isBalanced(window, expectedOldShare)) comparePair(cell, window, shedding)
-                if (isClosed && expectedOldShare == 0.0) compareRest(cell, window, shedding)
+                if (cell.failureDomain in shedding) window.dropLatencies()
+                if (isUseful(window, expectedOldShare)) comparePair(cell, window)
+                if (isClosed) compareWithReference(cell, window, end)
             }
         }
+        longWindows.forEach { _, cells ->
+            cells.forEach { (cell, window) -> if (isUseful(window, expectedOldShare)) comparePair(cell, window) }
+        }
         moveOn(nowMillis)
-        val changed = intake.refreshReferences()
-        if (changed.isEmpty()) return
-        intake.windows.dropLatencies(changed)
-        longWindows.dropLatencies(changed)
+        dropOutdatedLatencies()
     }
 
     /** Shedding that is confined to a minority of domains concerns targets, not the release. */
@@ -43,61 +45,64 @@
         return if (shedding.size * 2 <= intake.newDomains.size) shedding else emptySet()
     }
 
-    private fun isBalanced(
+    private fun isUseful(
         window: CellWindow,
         expectedOldShare: Double,
-    ): Boolean = window.old.calls * 2 >= (window.old.calls + window.new.calls) * expectedOldShare
+    ): Boolean {
+        val all = window.old.calls + window.new.calls
+        return window.old.calls >= USEFUL_OLD_CALLS && window.old.calls * 2 >= all * expectedOldShare
+    }
 
     private fun comparePair(
         cell: CellKey,
         window: CellWindow,
-        shedding: Set<FailureDomainId>,
     ) {
         if (window.new.calls == 0L || window.old.calls == 0L) return
-        evidence.comparePaired(cell, withoutShedding(cell, window, shedding), window.old)
+        evidence.comparePaired(cell, window.new, window.old)
         window.new = SideCounts.NONE
         window.old = SideCounts.NONE
     }
 
-    private fun compareRest(
+    private fun compareWithReference(
         cell: CellKey,
         window: CellWindow,
-        shedding: Set<FailureDomainId>,
+        endMillis: Long,
     ) {
-        if (window.new.calls == 0L) return
-        evidence.compareWithReference(cell, withoutShedding(cell, window, shedding))
-        window.new = SideCounts.NONE
+        if (window.newForReference.calls == 0L) return
+        evidence.compareWithReference(cell, window.newForReference, endMillis)
+        window.newForReference = SideCounts.NONE
     }
 
-    private fun withoutShedding(
-        cell: CellKey,
-        window: CellWindow,
-        shedding: Set<FailureDomainId>,
-    ) = if (cell.failureDomain in shedding) window.new.withoutLatency() else window.new
-
     private fun moveOn(nowMillis: Long) {
         val latest = nowMillis + MAX_SKEW_MILLIS
         intake.windows.prune(nowMillis - PAIRING_MILLIS, latest) { end, cells ->
-            val shedding = sheddingDomains(cells)
             cells.forEach { (cell, window) ->
+                compareWithReference(cell, window, end)
                 val long = longWindows.at(cell, end)
-                long.new += withoutShedding(cell, window, shedding)
+                long.new += window.new
                 long.old += window.old
             }
         }
         longWindows.prune(nowMillis - PAIRING_MILLIS, latest) { _, cells ->
-            cells.forEach { (cell, window) ->
-                comparePair(cell, window, emptySet())
-                compareRest(cell, window, emptySet())
-            }
+            cells.forEach { (cell, window) -> comparePair(cell, window) }
         }
     }
 
+    private fun dropOutdatedLatencies() {
+        val changed = intake.refreshReferences()
+        if (changed.isEmpty()) return
+        intake.windows.dropLatencies(changed)
+        longWindows.dropLatencies(changed)
+    }
+
     private companion object {
         const val FULL_PERMILLE = 1_000.0
 
-        /** Windows in which rare calls find a counterpart, as a multiple of the usual ones. */
-        const val LONG_WINDOWS = 20L
+        /** Calls of the old release from which one hit on the new release is strong evidence. */
+        const val USEFUL_OLD_CALLS = 8L
+
+        /** Length of the windows for rare calls, as a multiple of the usual one. */
+        const val LONG_WINDOWS = 60L
 
         /** Time after the end of a window for which it waits for a counterpart. */
         const val PAIRING_MILLIS = 3_000L
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/OutcomeIntake.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/OutcomeIntake.kt
@@ -44,6 +44,10 @@
     var newErrors = 0L
         private set
 
+    /** Calls of the new release whose latencies count. */
+    var timedCalls = 0L
+        private set
+
     /** Failure domains in which the new release had calls. */
     val newDomains = TreeSet<FailureDomainId>()
 
@@ -76,7 +80,9 @@
     ) {
         val reference = references.getOrPut(summary.route) { RouteReference() }
         val window = windows.at(CellKey(summary.route, summary.failureDomain), summary.endsAtMillis)
-        window.old += countSide(summary, latency, reference)
+        val counts = countSide(summary, latency, reference)
+        window.old += counts
+        reference.noteLatest(windows.endOf(summary.endsAtMillis), counts)
         reference.add(summary.calls, summary.errors, summary.latency.takeIf { latency != null })
     }
 
@@ -89,7 +95,10 @@
         if (summary.calls > 0) newDomains += summary.failureDomain
         val warm = takeWarmLatency(summary, latency)
         val window = windows.at(CellKey(summary.route, summary.failureDomain), summary.endsAtMillis)
-        window.new += countSide(summary, warm, references[summary.route])
+        val counts = countSide(summary, warm, references[summary.route])
+        window.new += counts
+        window.newForReference += counts
+        timedCalls += counts.timed
         if (summary.shed > policy.shedShare * (summary.calls + summary.shed)) window.sheds = true
     }
 
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/OutcomeWindows.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/OutcomeWindows.kt
@@ -39,13 +39,26 @@
     }
 }
 
-/** Holds the outcomes of one cell and time window that have not been tested yet. */
+/** Holds the outcomes of one cell and time window that have not been compared yet. */
 internal class CellWindow {
+    /** Outcomes of the new release that wait for a counterpart. */
     var new = SideCounts.NONE
+
+    /** Outcomes of the old release that wait for a counterpart. */
     var old = SideCounts.NONE
 
+    /** Outcomes of the new release that wait for the comparison with the reference. */
+    var newForReference = SideCounts.NONE
+
     /** Tells whether a target of the new release shed load in this window. */
     var sheds = false
+
+    /** Drops the latencies. */
+    fun dropLatencies() {
+        new = new.withoutLatency()
+        old = old.withoutLatency()
+        newForReference = newForReference.withoutLatency()
+    }
 }
 
 /** Sorts outcomes of both releases into time windows of [widthMillis] by cell. */
@@ -58,10 +71,12 @@
     fun at(
         cell: CellKey,
         endsAtMillis: Long,
-    ): CellWindow {
-        val index = Math.floorDiv(endsAtMillis - 1, widthMillis)
-        return windows.getOrPut(index) { TreeMap() }.getOrPut(cell) { CellWindow() }
-    }
+    ): CellWindow = windows.getOrPut(indexOf(endsAtMillis)) { TreeMap() }.getOrPut(cell) { CellWindow() }
+
+    /** Returns the end of the window that holds the calls counted until [endsAtMillis]. */
+    fun endOf(endsAtMillis: Long): Long = (indexOf(endsAtMillis) + 1) * widthMillis
+
+    private fun indexOf(endsAtMillis: Long) = Math.floorDiv(endsAtMillis - 1, widthMillis)
 
     /** Visits all windows in the order of time with the point in time at which each ends. */
     fun forEach(visit: (endMillis: Long, cells: Map<CellKey, CellWindow>) -> Unit) =
@@ -70,10 +85,7 @@
     /** Drops the latencies of [routes]; their limits of slow calls have changed. */
     fun dropLatencies(routes: Set<RouteId>) =
         windows.values.forEach { cells ->
-            cells.filterKeys { it.route in routes }.values.forEach {
-                it.old = it.old.withoutLatency()
-                it.new = it.new.withoutLatency()
-            }
+            cells.filterKeys { it.route in routes }.values.forEach { it.dropLatencies() }
         }
 
     /** Drops the windows that end before [endMillis] or after [latestMillis], and passes them to [drop]. */
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/Ramp.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/Ramp.kt
@@ -5,10 +5,12 @@
 import dev.baobabhollow.model.MoveState
 import dev.baobabhollow.model.RouteId
 
-/** Says what the new release has shown so far. [stepCalls] counts its calls at the present share. */
+/** Says what the new release has shown so far. [stepCalls] counts its calls at the present share,
+ * [timedCalls] those after warm-up. */
 internal data class RampEvidence(
     val calls: Long,
     val stepCalls: Long,
+    val timedCalls: Long,
     val routeCalls: Map<RouteId, Long>,
     val isSuspect: Boolean,
 )
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/RouteReference.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/RouteReference.kt
@@ -1,11 +1,16 @@
 package dev.baobabhollow.moves
 
 import dev.baobabhollow.model.LatencyHistogram
+import java.util.TreeMap
 import kotlin.math.sqrt
 
-/** Keeps what the old release did on one route: errors, and latencies from which the limits of a slow call follow. */
+/**
+ * Keeps what the old release did on one route: errors, latencies from which the limits of a slow call follow, and the
+ * outcomes of its latest windows.
+ */
 internal class RouteReference {
     private val latencies = LatencyHistogram()
+    private val latest = TreeMap<Long, SideCounts>()
     private var countAtRefresh = 0L
 
     /** Latency in microseconds above which a call is slow, or null before enough calls. */
@@ -47,10 +52,39 @@
         return true
     }
 
-    /** Returns an upper confidence limit (Agresti-Coull, 3 standard errors) of the error probability. */
-    fun errorLimit(): Double {
+    /** Notes [counts] of the old release in the time window that ends at [endMillis]. */
+    fun noteLatest(
+        endMillis: Long,
+        counts: SideCounts,
+    ) {
+        latest.merge(endMillis, counts, SideCounts::plus)
+        while (latest.size > LATEST_WINDOWS) latest.pollFirstEntry()
+    }
+
+    /** Returns an upper confidence limit of the probability that a call of the old release is a hit by [metric]. */
+    fun hitLimit(metric: Metric): Double =
+        when (metric) {
+            Metric.ERRORS -> upperLimit(calls, errors)
+            Metric.SLOW -> SLOW_SHARE
+            Metric.VERY_SLOW -> VERY_SLOW_SHARE
+        }
+
+    /** Returns the share of hits by [metric] in the windows that end between [fromMillis] and [untilMillis]. */
+    fun latestHitShare(
+        metric: Metric,
+        fromMillis: Long,
+        untilMillis: Long,
+    ): Double {
+        val counts = latest.subMap(fromMillis, true, untilMillis, true).values.fold(SideCounts.NONE, SideCounts::plus)
+        return metric.hits(counts).toDouble() / metric.calls(counts).coerceAtLeast(1)
+    }
+
+    private fun upperLimit(
+        calls: Long,
+        hits: Long,
+    ): Double {
         val size = calls + PSEUDO_CALLS
-        val share = (errors + PSEUDO_CALLS / 2) / size
+        val share = (hits + PSEUDO_CALLS / 2) / size
         return share + STANDARD_ERRORS * sqrt(share * (1 - share) / size)
     }
 
@@ -61,9 +95,12 @@
 
         /** Share of the old release's calls that are very slow. */
         const val VERY_SLOW_SHARE = 0.01
+        private const val LATEST_WINDOWS = 30
         private const val MIN_CALLS = 100L
         private const val REFRESH_GROWTH = 1.5
+
+        /** Agresti-Coull interval of 3 standard errors, which adds the square of that number of calls. */
         private const val STANDARD_ERRORS = 3.0
-        private const val PSEUDO_CALLS = 9.0
+        private const val PSEUDO_CALLS = STANDARD_ERRORS * STANDARD_ERRORS
     }
 }
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/SequentialMoveJudge.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/SequentialMoveJudge.kt
@@ -119,11 +119,13 @@
             session.intake.references.keys
                 .associateWith { session.intake.newCalls[it] ?: 0L }
         val isSuspect = assessment.logEvidence >= ln(SUSPECT_EVIDENCE)
+        val timedCalls = session.intake.timedCalls
+        val rampEvidence = RampEvidence(calls, calls - callsAtStage, timedCalls, routeCalls, isSuspect)
         return when (
             val step =
                 ramp.next(
                     move,
-                    RampEvidence(calls, calls - callsAtStage, routeCalls, isSuspect),
+                    rampEvidence,
                     nowMillis,
                 )
         ) {
