Require reference evidence in most domains and lower its limit

A sparse route's confidence limit hid error shares of 30%, and an ill domain plus noise condemned good releases.

--- a/moves/src/main/kotlin/dev/baobabhollow/moves/FaultEvidence.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/FaultEvidence.kt
@@ -113,8 +113,8 @@
     }
 
     /**
-     * The traffic of another time and domain differs, so the limit is twice the old release's share plus a constant. It
-     * also rises with the old release's hits in the latest windows, so that what harms both releases is no evidence.
+     * The traffic of another time and domain differs, so the limit is twice the old release's share plus a constant, and
+     * not below an upper confidence limit of that share, on which the false alarm rate is conditional here. It also rises with the old release's hits in the latest windows, so that what harms both releases is no evidence.
      */
     private fun referenceShare(
         metric: Metric,
@@ -124,7 +124,8 @@
         if (reference == null) return UNKNOWN_SHARE
         val latest = reference.latestHitShare(metric, endMillis - LATEST_MILLIS, endMillis)
         val margin = if (metric == Metric.ERRORS) REFERENCE_ERROR_MARGIN else 0.0
-        return (REFERENCE_FACTOR * max(reference.hitLimit(metric), latest) + margin).coerceAtMost(MAX_NULL_SHARE)
+        val limit = max(reference.hitLimit(metric), REFERENCE_FACTOR * max(reference.hitShare(metric), latest))
+        return (limit + margin).coerceAtMost(MAX_NULL_SHARE)
     }
 
     private fun tolerance(metric: Metric) =
@@ -188,7 +189,12 @@
                 Metric.SLOW -> REFERENCE_FACTOR * RouteReference.SLOW_SHARE
                 Metric.VERY_SLOW -> REFERENCE_FACTOR * RouteReference.VERY_SLOW_SHARE
             }
-        return share >= least && candidate.test.isSpread(if (finding.isPaired) 1 else domains.size / 2)
+        if (share < least) return false
+        return if (finding.isPaired) {
+            candidate.test.isSpread(strongest = 1, leastShare = 0.0)
+        } else {
+            candidate.test.isSpread(strongest = domains.size / 2, leastShare = REFERENCE_SPREAD_SHARE)
+        }
     }
 
     private companion object {
@@ -197,6 +203,9 @@
         const val PAIRED_WEIGHT = 0.7
         const val EQUAL_ROUTES = 8
         const val EQUAL_WEIGHT = 0.9
+
+        /** An ill domain gives the reference test ever more evidence, so the weaker domains must keep up. */
+        const val REFERENCE_SPREAD_SHARE = 0.2
         const val REFERENCE_FACTOR = 2.0
         const val REFERENCE_ERROR_MARGIN = 0.005
         const val UNKNOWN_SHARE = 0.1
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/MovePolicy.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/MovePolicy.kt
@@ -62,9 +62,9 @@
                 MovePriority.COMPLETION -> {
                     MovePolicy(
                         priority,
-                        rampPermille = listOf(UNPROVEN_PERMILLE, 100, 400, 800),
+                        rampPermille = listOf(UNPROVEN_PERMILLE, 30, 100, 400, 800),
                         provenCalls = 200,
-                        provingShare = 0.4,
+                        provingShare = 0.5,
                         marginShare = 0.2,
                     )
                 }
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/RouteReference.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/RouteReference.kt
@@ -69,6 +69,14 @@
             Metric.VERY_SLOW -> VERY_SLOW_SHARE
         }
 
+    /** Returns the share of hits by [metric] in all calls of the old release. */
+    fun hitShare(metric: Metric): Double =
+        when (metric) {
+            Metric.ERRORS -> errors.toDouble() / calls.coerceAtLeast(1)
+            Metric.SLOW -> SLOW_SHARE
+            Metric.VERY_SLOW -> VERY_SLOW_SHARE
+        }
+
     /** Returns the share of hits by [metric] in the windows that end between [fromMillis] and [untilMillis]. */
     fun latestHitShare(
         metric: Metric,
@@ -99,8 +107,8 @@
         private const val MIN_CALLS = 100L
         private const val REFRESH_GROWTH = 1.5
 
-        /** Agresti-Coull interval of 3 standard errors, which adds the square of that number of calls. */
-        private const val STANDARD_ERRORS = 3.0
+        /** Agresti-Coull interval of 2.5 standard errors (99.4% one-sided), which adds the square of that in calls. */
+        private const val STANDARD_ERRORS = 2.5
         private const val PSEUDO_CALLS = STANDARD_ERRORS * STANDARD_ERRORS
     }
 }
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/SequentialTest.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/SequentialTest.kt
@@ -69,14 +69,19 @@
     }
 
     /**
-     * Tells whether the evidence is spread over domains: without its [strongest] domains it still exceeds a fixed level.
-     * One ill target alone must not condemn a release. This can only suppress alarms and leaves the error bound intact.
+     * Tells whether the evidence is spread over domains: without its [strongest] domains it still exceeds a fixed level
+     * and [leastShare] of all. One ill domain or target alone must not condemn a release. This can only suppress alarms
+     * and leaves the error bound intact.
      */
-    fun isSpread(strongest: Int): Boolean {
+    fun isSpread(
+        strongest: Int,
+        leastShare: Double,
+    ): Boolean {
         val best = logWealth.indices.maxBy { logWealth[it] }
         val rises = logRises.values.map { it[best] }.sortedDescending()
         if (rises.size <= 1) return true
-        return rises.drop(strongest.coerceAtMost(rises.size - 1)).sum() >= SPREAD_LOG_RATIO
+        val rest = rises.drop(strongest.coerceAtMost(rises.size - 1)).sum()
+        return rest >= SPREAD_LOG_RATIO && rest >= leastShare * rises.sum()
     }
 
     private companion object {
