--- /dev/null
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/RouteReference.kt
@@ -0,0 +1,114 @@
+package dev.baobabhollow.moves
+
+import dev.baobabhollow.model.LatencyHistogram
+import java.util.TreeMap
+import kotlin.math.sqrt
+
+/**
+ * Keeps what the old release did on one route: errors, latencies from which the limits of a slow call follow, and the
+ * outcomes of its latest windows.
+ */
+internal class RouteReference {
+    private val latencies = LatencyHistogram()
+    private val latest = TreeMap<Long, SideCounts>()
+    private var countAtRefresh = 0L
+
+    /** Latency in microseconds above which a call is slow, or null before enough calls. */
+    var slowMicros: Long? = null
+        private set
+
+    /** Latency in microseconds above which a call is very slow, or null before enough calls. */
+    var verySlowMicros: Long? = null
+        private set
+
+    /** Calls of the old release. */
+    var calls = 0L
+        private set
+
+    /** Failed calls of the old release. */
+    var errors = 0L
+        private set
+
+    /** Adds outcomes of the old release; [encodedLatencies] is null if they cannot be decoded. */
+    fun add(
+        calls: Long,
+        errors: Long,
+        encodedLatencies: ByteArray?,
+    ) {
+        this.calls += calls
+        this.errors += errors
+        encodedLatencies?.let(latencies::mergeEncoded)
+    }
+
+    /**
+     * Recomputes the limits when the calls have grown by half. Returns whether they changed. Only calls before the ones
+     * that are then compared set a limit, so the comparison stays a fair bet.
+     */
+    fun refresh(): Boolean {
+        if (latencies.count < MIN_CALLS || latencies.count < countAtRefresh * REFRESH_GROWTH) return false
+        countAtRefresh = latencies.count
+        slowMicros = latencies.quantileMicros(1 - SLOW_SHARE)
+        verySlowMicros = latencies.quantileMicros(1 - VERY_SLOW_SHARE)
+        return true
+    }
+
+    /** Notes [counts] of the old release in the time window that ends at [endMillis]. */
+    fun noteLatest(
+        endMillis: Long,
+        counts: SideCounts,
+    ) {
+        latest.merge(endMillis, counts, SideCounts::plus)
+        while (latest.size > LATEST_WINDOWS) latest.pollFirstEntry()
+    }
+
+    /** Returns an upper confidence limit of the probability that a call of the old release is a hit by [metric]. */
+    fun hitLimit(metric: Metric): Double =
+        when (metric) {
+            Metric.ERRORS -> upperLimit(calls, errors)
+            Metric.SLOW -> SLOW_SHARE
+            Metric.VERY_SLOW -> VERY_SLOW_SHARE
+        }
+
+    /** Returns the share of hits by [metric] in all calls of the old release. */
+    fun hitShare(metric: Metric): Double =
+        when (metric) {
+            Metric.ERRORS -> errors.toDouble() / calls.coerceAtLeast(1)
+            Metric.SLOW -> SLOW_SHARE
+            Metric.VERY_SLOW -> VERY_SLOW_SHARE
+        }
+
+    /** Returns the share of hits by [metric] in the windows that end between [fromMillis] and [untilMillis]. */
+    fun latestHitShare(
+        metric: Metric,
+        fromMillis: Long,
+        untilMillis: Long,
+    ): Double {
+        val counts = latest.subMap(fromMillis, true, untilMillis, true).values.fold(SideCounts.NONE, SideCounts::plus)
+        return metric.hits(counts).toDouble() / metric.calls(counts).coerceAtLeast(1)
+    }
+
+    private fun upperLimit(
+        calls: Long,
+        hits: Long,
+    ): Double {
+        val size = calls + PSEUDO_CALLS
+        val share = (hits + PSEUDO_CALLS / 2) / size
+        return share + STANDARD_ERRORS * sqrt(share * (1 - share) / size)
+    }
+
+    /** Holds the quantiles. */
+    companion object {
+        /** Share of the old release's calls that are slow. */
+        const val SLOW_SHARE = 0.1
+
+        /** Share of the old release's calls that are very slow. */
+        const val VERY_SLOW_SHARE = 0.01
+        private const val LATEST_WINDOWS = 30
+        private const val MIN_CALLS = 100L
+        private const val REFRESH_GROWTH = 1.5
+
+        /** Agresti-Coull interval of 2.5 standard errors (99.4% one-sided), which adds the square of that in calls. */
+        private const val STANDARD_ERRORS = 2.5
+        private const val PSEUDO_CALLS = STANDARD_ERRORS * STANDARD_ERRORS
+    }
+}
