Add membership: probes, suspicion, gossip and reconciliation between domains

The control plane needs failure detection and the list of nodes. The aggregate does no I/O and takes the clock as an argument; a steady clock keeps jumps of the wall clock from expiring timeouts.

--- /dev/null
+++ b/membership/src/main/kotlin/dev/baobabhollow/membership/Fleet.kt
@@ -0,0 +1,129 @@
+package dev.baobabhollow.membership
+
+import dev.baobabhollow.model.FailureDomainId
+import dev.baobabhollow.model.NodeId
+import dev.baobabhollow.model.NodeRecord
+import dev.baobabhollow.model.NodeStatus
+import dev.baobabhollow.model.TargetStatus
+import java.util.random.RandomGenerator
+
+/** Holds what the parts of a membership share: the known nodes, the updates to spread and this node's own record. */
+internal class Fleet(
+    self: NodeRecord,
+    val settings: MembershipSettings,
+    val random: RandomGenerator,
+) {
+    val table = NodeTable(self.node, settings)
+    val updates = UpdateQueue(settings)
+    val suspicions = Suspicions(settings)
+    val urgent = UrgentUpdates()
+    val selfId: NodeId = self.node
+    val domain: FailureDomainId = self.failureDomain
+
+    val self: NodeRecord get() = checkNotNull(table[selfId])
+
+    /** Nodes of this domain that are not dead, without this node. */
+    val neighbours: List<NodeRecord>
+        get() = membersOf(domain).filter { it.node != selfId }
+
+    val domainSize: Int get() = membersOf(domain).size
+
+    private var groupedRevision = -1L
+    private var grouped: Map<FailureDomainId, List<NodeRecord>> = emptyMap()
+
+    init {
+        table.put(self)
+        updates.add(self)
+    }
+
+    /** Returns the nodes that are not dead, by failure domain. */
+    fun byDomain(): Map<FailureDomainId, List<NodeRecord>> {
+        val view = table.view
+        if (view.revision != groupedRevision) {
+            grouped =
+                view.nodes.values
+                    .filter { it.status != NodeStatus.DEAD }
+                    .groupBy { it.failureDomain }
+            groupedRevision = view.revision
+        }
+        return grouped
+    }
+
+    private fun membersOf(domain: FailureDomainId) = byDomain()[domain].orEmpty()
+
+    fun senderRecord(): SenderRecord {
+        val own = self
+        return SenderRecord(
+            own.node,
+            own.failureDomain,
+            own.incarnation,
+            own.controlEndpoint.host,
+            own.controlEndpoint.port,
+        )
+    }
+
+    /** Returns updates that fit a message which needs [usedBytes] for itself. */
+    fun takeUpdates(
+        first: NodeRecord? = null,
+        usedBytes: Int = MESSAGE_OVERHEAD_BYTES,
+    ): List<CompactRecord> = updates.take(settings.maxMessageBytes - usedBytes, domainSize, first)
+
+    /** Replaces this node's own record by [change] of it under a higher incarnation. */
+    fun announce(change: (NodeRecord) -> NodeRecord) {
+        val before = self
+        val after = change(before).copy(node = selfId, failureDomain = domain, incarnation = before.incarnation + 1)
+        table.put(after)
+        updates.add(after)
+        if (isUrgent(after)) urgent.add(after)
+    }
+
+    /** Takes in [record] about any node and spreads it if it is new. */
+    fun merge(
+        record: NodeRecord,
+        nowMillis: Long,
+    ) {
+        if (record.node == selfId) return refute(record)
+        val before = table[record.node]
+        if (!table.merge(record, nowMillis)) return
+        updates.add(record)
+        if (isUrgent(record) && (before == null || !isUrgent(before))) urgent.add(record)
+        if (record.failureDomain != domain) return
+        if (record.status == NodeStatus.SUSPECT) {
+            suspicions.start(record, nowMillis, domainSize)
+        } else {
+            suspicions.end(record.node)
+        }
+    }
+
+    /** Raises the own incarnation above what others believe about this node, also after a restart with a clock set back. */
+    private fun refute(record: NodeRecord) {
+        val own = self
+        if (record.incarnation < own.incarnation || record == own) return
+        table.put(own.copy(incarnation = record.incarnation + 1))
+        updates.add(self)
+    }
+
+    /** Picks at most [count] of [from] at random. */
+    fun <T> pick(
+        from: List<T>,
+        count: Int,
+    ): List<T> {
+        if (from.size <= 1) return from.take(count)
+        val left = from.toMutableList()
+        return List(minOf(count, left.size)) {
+            val index = random.nextInt(left.size)
+            val chosen = left[index]
+            left[index] = left.last()
+            left.removeLast()
+            chosen
+        }
+    }
+
+    private fun isUrgent(record: NodeRecord): Boolean {
+        val target = record.target
+        return record.status == NodeStatus.LEAVING || (target != null && target.status != TargetStatus.SERVING)
+    }
+}
+
+/** Upper bound of the encoded size of a message without its updates and lists, in bytes. */
+internal const val MESSAGE_OVERHEAD_BYTES = 200
--- /dev/null
+++ b/membership/src/main/kotlin/dev/baobabhollow/membership/NodeTable.kt
@@ -0,0 +1,123 @@
+package dev.baobabhollow.membership
+
+import com.dynatrace.hash4j.hashing.Hashing
+import dev.baobabhollow.model.FailureDomainId
+import dev.baobabhollow.model.NodeId
+import dev.baobabhollow.model.NodeRecord
+import dev.baobabhollow.model.NodeStatus
+
+/** Number of buckets into which the records of a domain are split for reconciliation; a bit set of them fits a Long. */
+internal const val BUCKETS = 64
+
+/** Holds the records of all known nodes. Dead ones are kept for a while so that a late message cannot bring them back. */
+internal class NodeTable(
+    private val self: NodeId,
+    private val settings: MembershipSettings,
+) {
+    private val nodes = LinkedHashMap<NodeId, NodeRecord>()
+    private val diedAtMillis = LinkedHashMap<NodeId, Long>()
+    private var cachedView: FleetView? = null
+    private var cachedDigests: Map<FailureDomainId, IntArray>? = null
+    private var revision = 0L
+
+    val view: FleetView
+        get() = cachedView ?: FleetView(self, LinkedHashMap(nodes), revision).also { cachedView = it }
+
+    operator fun get(node: NodeId): NodeRecord? = nodes[node]
+
+    /** Takes [record] over if it supersedes the known one, and tells whether it did. */
+    fun merge(
+        record: NodeRecord,
+        nowMillis: Long,
+    ): Boolean {
+        val known = nodes[record.node]
+        if (known == null && nodes.size >= settings.maxNodes) return false
+        if (known != null && !supersedes(record, known)) return false
+        put(record)
+        if (record.status == NodeStatus.DEAD) rememberDead(record.node, nowMillis) else diedAtMillis -= record.node
+        return true
+    }
+
+    /** Stores [record] whatever is known. */
+    fun put(record: NodeRecord) {
+        nodes[record.node] = record
+        touch()
+    }
+
+    fun forgetDead(nowMillis: Long) {
+        while (true) {
+            val (node, diedAt) = diedAtMillis.entries.firstOrNull() ?: return
+            if (nowMillis - diedAt < settings.deadMemoryMillis) return
+            forget(node)
+        }
+    }
+
+    fun deadNodes(): List<NodeRecord> = diedAtMillis.keys.mapNotNull { nodes[it] }
+
+    /** Returns the hash of each domain's records that are not dead. */
+    fun domainHashes(): Map<FailureDomainId, Int> = digests().mapValues { it.value.contentHashCode() }
+
+    fun bucketHashes(domain: FailureDomainId): IntArray = digests()[domain] ?: IntArray(BUCKETS)
+
+    /** Returns the records of [domain], dead ones included, in the buckets whose bits are set in [mask]. */
+    fun recordsIn(
+        domain: FailureDomainId,
+        mask: Long,
+    ): List<NodeRecord> =
+        nodes.values.filter { it.failureDomain == domain && mask and (1L shl bucketOf(it.node)) != 0L }
+
+    private fun rememberDead(
+        node: NodeId,
+        nowMillis: Long,
+    ) {
+        diedAtMillis -= node
+        diedAtMillis[node] = nowMillis
+        if (diedAtMillis.size > settings.maxDeadNodes) forget(diedAtMillis.keys.first())
+    }
+
+    private fun forget(node: NodeId) {
+        diedAtMillis -= node
+        nodes -= node
+        touch()
+    }
+
+    private fun touch() {
+        revision++
+        cachedView = null
+        cachedDigests = null
+    }
+
+    private fun digests(): Map<FailureDomainId, IntArray> =
+        cachedDigests ?: computeDigests().also { cachedDigests = it }
+
+    private fun computeDigests(): Map<FailureDomainId, IntArray> {
+        val digests = HashMap<FailureDomainId, IntArray>()
+        for (record in nodes.values) {
+            if (record.status == NodeStatus.DEAD) continue
+            val buckets = digests.getOrPut(record.failureDomain) { IntArray(BUCKETS) }
+            buckets[bucketOf(record.node)] += hashOf(record)
+        }
+        return digests
+    }
+}
+
+/** Tells whether [record] is newer than [known]: by incarnation, then by status. */
+internal fun supersedes(
+    record: NodeRecord,
+    known: NodeRecord,
+): Boolean =
+    record.incarnation > known.incarnation ||
+        (record.incarnation == known.incarnation && record.status > known.status)
+
+internal fun bucketOf(node: NodeId): Int = Math.floorMod(Hashing.xxh3_64().hashCharsToLong(node.value), BUCKETS)
+
+/** Suspicion stays inside a domain and does not count as a difference. */
+private fun hashOf(record: NodeRecord): Int =
+    Hashing
+        .xxh3_64()
+        .hashStream()
+        .putString(record.node.value)
+        .putLong(record.incarnation)
+        .putBoolean(record.status == NodeStatus.LEAVING)
+        .asLong
+        .toInt()
--- /dev/null
+++ b/membership/src/main/kotlin/dev/baobabhollow/membership/UpdateQueue.kt
@@ -0,0 +1,51 @@
+package dev.baobabhollow.membership
+
+import dev.baobabhollow.model.NodeId
+import dev.baobabhollow.model.NodeRecord
+
+/** Holds the records that ride along with messages, each for a limited number of times, the least sent first. */
+internal class UpdateQueue(
+    private val settings: MembershipSettings,
+) {
+    private class Item(
+        val record: CompactRecord,
+        var sent: Int = 0,
+    )
+
+    private val items = LinkedHashMap<NodeId, Item>()
+
+    /** Adds [record] and drops what was queued about the same node. */
+    fun add(record: NodeRecord) {
+        items -= record.node
+        items[record.node] = Item(CompactRecord.of(record))
+        if (items.size > MAX_ITEMS) items -= items.entries.maxBy { it.value.sent }.key
+    }
+
+    /** Returns updates of at most [maxBytes] for a domain of [nodes] nodes, beginning with [first]. */
+    fun take(
+        maxBytes: Int,
+        nodes: Int,
+        first: NodeRecord? = null,
+    ): List<CompactRecord> {
+        val taken = mutableListOf<CompactRecord>()
+        var left = maxBytes
+        if (first != null) CompactRecord.of(first).also { left -= it.maxBytes }.let(taken::add)
+        if (items.isEmpty()) return taken
+        val limit = settings.retransmissionFactor * binaryLog(nodes + 1)
+        for (item in items.values.sortedBy { it.sent }) {
+            if (item.record.node == first?.node) continue
+            if (item.record.maxBytes > left) continue
+            left -= item.record.maxBytes
+            taken += item.record
+            item.sent++
+        }
+        items.values.removeIf { it.sent >= limit }
+        return taken
+    }
+
+    private fun binaryLog(value: Int): Int = Int.SIZE_BITS - Integer.numberOfLeadingZeros(value.coerceAtLeast(1))
+
+    private companion object {
+        const val MAX_ITEMS = 4_096
+    }
+}
