--- a/membership/src/main/kotlin/dev/baobabhollow/membership/SwimMembership.kt
+++ b/membership/src/main/kotlin/dev/baobabhollow/membership/SwimMembership.kt
@@ -58,6 +58,8 @@
         } + tellDoubt(message)
     }
 
+    override fun greeting(): MembershipMessage = Gossip(fleet.senderRecord(), fleet.takeUpdates())
+
     override fun announce(change: (NodeRecord) -> NodeRecord) = fleet.announce(change)
 
     private fun advance(wallMillis: Long): Long {
--- /dev/null
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlMetrics.kt
@@ -0,0 +1,82 @@
+package dev.baobabhollow.peers
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Gauge
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+
+/** Counts what the control plane does. Bytes are payload bytes without IP, UDP and TCP headers. */
+internal class ControlMetrics(
+    private val registry: PrometheusRegistry,
+) {
+    private val bytes = counter("control_bytes", "Control traffic in payload bytes", "transport", "direction")
+    private val messages = counter("control_messages", "Control messages", "transport", "direction")
+    private val ignored = counter("control_ignored", "Control messages that were ignored", "reason")
+    private val fullRings = counter("control_ring_full", "Messages dropped because a ring was full", "ring")
+    private val transfers = counter("control_transfers", "Answers to pulls", "answer")
+    private val logCalls = counter("control_log_calls", "Calls to the platform log", "call", "result")
+    private val divergences = counter("control_divergences", "Peers with another state at the same offset")
+    private val offset = gauge("configuration_offset", "Offset of the configuration state")
+    private val version = gauge("configuration_version", "Version of the configuration state")
+    private val nodes = gauge("control_live_nodes", "Nodes that are neither leaving nor dead")
+
+    fun countSent(
+        transport: String,
+        size: Int,
+    ) = countTraffic(transport, "sent", size)
+
+    fun countReceived(
+        transport: String,
+        size: Int,
+    ) = countTraffic(transport, "received", size)
+
+    fun countIgnored(reason: String) = ignored.labelValues(reason).inc()
+
+    fun countFullRing(ring: String) = fullRings.labelValues(ring).inc()
+
+    fun countTransfer(answer: String) = transfers.labelValues(answer).inc()
+
+    fun countLogCall(
+        call: String,
+        result: String,
+    ) = logCalls.labelValues(call, result).inc()
+
+    fun countDivergence() = divergences.inc()
+
+    fun showPosition(position: Position) {
+        offset.set(position.offset.toDouble())
+        version.set(position.version.toDouble())
+    }
+
+    fun showLiveNodes(count: Int) = nodes.set(count.toDouble())
+
+    private fun countTraffic(
+        transport: String,
+        direction: String,
+        size: Int,
+    ) {
+        bytes.labelValues(transport, direction).inc(size.toDouble())
+        messages.labelValues(transport, direction).inc()
+    }
+
+    private fun counter(
+        name: String,
+        help: String,
+        vararg labels: String,
+    ): Counter =
+        Counter
+            .builder()
+            .name("baobabhollow_$name")
+            .help(help)
+            .labelNames(*labels)
+            .register(registry)
+
+    private fun gauge(
+        name: String,
+        help: String,
+    ): Gauge =
+        Gauge
+            .builder()
+            .name("baobabhollow_$name")
+            .help(help)
+            .register(registry)
+}
--- /dev/null
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlane.kt
@@ -0,0 +1,156 @@
+package dev.baobabhollow.peers
+
+import dev.baobabhollow.membership.FleetView
+import dev.baobabhollow.membership.membership
+import dev.baobabhollow.model.ConfigurationState
+import dev.baobabhollow.model.MoveId
+import dev.baobabhollow.model.MoveStageRecord
+import dev.baobabhollow.model.NodeRecord
+import dev.baobabhollow.model.OutcomeSummary
+import dev.baobabhollow.model.PlatformLog
+import dev.baobabhollow.model.RecordBody
+import dev.baobabhollow.model.SnapshotRecord
+import dev.baobabhollow.model.TargetStatus
+import dev.baobabhollow.model.WriterId
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.util.SplittableRandom
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
+import java.util.random.RandomGenerator
+
+/**
+ * Keeps the configuration, the list of nodes and the moves of one node up to date.
+ *
+ * [ControlCallbacks.onChange] is called on the control thread. All functions may be called from any thread.
+ */
+class ControlPlane(
+    private val settings: ControlPlaneSettings,
+    private val self: NodeRecord,
+    log: PlatformLog,
+    private val clock: () -> Long,
+    random: RandomGenerator,
+    registry: PrometheusRegistry,
+    private val callbacks: ControlCallbacks,
+) : AutoCloseable {
+    private val metrics = ControlMetrics(registry)
+    private val events = ControlRing<ControlEvent>("control", settings.ringCapacity, metrics)
+    private val summaries = ControlRing<OutcomeSummary>("summaries", settings.summaryRingCapacity, metrics)
+    private val transport = PeerTransport(self.controlEndpoint, settings, metrics, EventHandler())
+    private val outbox = Outbox(self, transport, settings, metrics, callbacks.dropsControl)
+    private val reader = LogReader(log, clock, settings, metrics, split(random), events::offer)
+    private val writer = LogWriter(log, writerId(random), clock, settings, metrics, split(random), events::offer)
+    private val dissemination = Dissemination(self, settings, outbox, metrics, split(random), ::post)
+    private val board: MoveBoard =
+        MoveBoard(self, settings, clock, callbacks.judgeFor, ::appendStage) { core.spread(it) }
+    private val outcomes =
+        OutcomeSender(self, settings, board) { to, body ->
+            outbox.request(to.controlEndpoint, body) { post(ControlEvent.OutcomesAnswered(it.isOk)) }
+        }
+    private val logDuty = LogDuty(self, settings, clock, reader::follow, ::appendSnapshot)
+    private val core: ControlCore =
+        ControlCore(
+            self = self,
+            settings = settings,
+            membership = membership(self, settings.membership, split(random)),
+            outbox = outbox,
+            random = split(random),
+            dissemination = dissemination,
+            board = board,
+            outcomes = outcomes,
+            logDuty = logDuty,
+            metrics = metrics,
+        )
+    private val thread = ControlThread(settings, core, events, summaries, callbacks.onChange)
+
+    /** Latest complete configuration state. */
+    val state: ConfigurationState get() = thread.published.state
+
+    /** Latest view of the fleet. */
+    val view: FleetView get() = thread.published.view
+
+    /** Moves whose new releases must get no calls from this node. */
+    val heldMoves: Set<MoveId> get() = thread.published.held
+
+    /** Tells what the node lacks before it may take calls. */
+    val readiness: Readiness get() = thread.published.readiness
+
+    /** Is false until a state was obtained from peers or from the log. */
+    val isReady: Boolean get() = readiness.isReady
+
+    /** Binds the control port and starts all threads. Throws when the port is taken. */
+    fun start() {
+        transport.start()
+        thread.start()
+        reader.start()
+        writer.start()
+    }
+
+    /** Takes in outcomes of the own target; returns false when the ring is full. */
+    fun observe(summary: OutcomeSummary): Boolean = summaries.offer(summary)
+
+    /** Announces the status of the own target to all nodes. */
+    fun announceTarget(status: TargetStatus): Boolean =
+        changeSelf { record -> record.copy(target = record.target?.copy(status = status)) }
+
+    /**
+     * Announces that this node leaves. Returns true when the announcement has been sent in all its rounds, and false when
+     * that took longer than until [deadlineMillis] (epoch milliseconds).
+     */
+    fun leave(deadlineMillis: Long): Boolean {
+        val done = CompletableFuture<Unit>()
+        if (!events.offer(ControlEvent.LeaveRequested(done))) return false
+        return try {
+            done.get((deadlineMillis - clock()).coerceIn(0, MAX_LEAVE_MILLIS), TimeUnit.MILLISECONDS)
+            true
+        } catch (_: TimeoutException) {
+            false
+        }
+    }
+
+    override fun close() {
+        reader.shutdown()
+        writer.shutdown()
+        thread.shutdown()
+        transport.close()
+    }
+
+    private fun changeSelf(change: (NodeRecord) -> NodeRecord): Boolean = events.offer(ControlEvent.SelfChanged(change))
+
+    private fun post(event: ControlEvent) {
+        events.offer(event)
+    }
+
+    private fun appendStage(record: MoveStageRecord): Boolean =
+        append(record) { board.isWanted(record, state, heldMoves) }
+
+    private fun appendSnapshot(record: SnapshotRecord): Boolean =
+        append(record, isRepeated = false) { state.snapshotOffset < record.throughOffset }
+
+    private fun append(
+        body: RecordBody,
+        isRepeated: Boolean = true,
+        isWanted: () -> Boolean,
+    ): Boolean = writer.offer(AppendRequest(body, isRepeated, isWanted))
+
+    private fun writerId(random: RandomGenerator): WriterId {
+        val start = java.lang.Long.toHexString(random.nextLong())
+        return WriterId("${self.node}/${self.incarnation}/$start")
+    }
+
+    private inner class EventHandler : PeerHandler {
+        override fun onDatagram(datagram: PeerDatagram) = post(ControlEvent.DatagramArrived(datagram))
+
+        override fun onRequest(
+            frame: PeerFrame,
+            reply: (PeerFrame) -> Unit,
+        ) = post(ControlEvent.RequestArrived(frame, reply))
+    }
+
+    private companion object {
+        /** Bounds the wait when the clock steps. */
+        const val MAX_LEAVE_MILLIS = 10_000L
+
+        fun split(random: RandomGenerator): RandomGenerator = SplittableRandom(random.nextLong())
+    }
+}
--- /dev/null
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlThread.kt
@@ -0,0 +1,100 @@
+package dev.baobabhollow.peers
+
+import dev.baobabhollow.membership.FleetView
+import dev.baobabhollow.model.ConfigurationState
+import dev.baobabhollow.model.MoveId
+import dev.baobabhollow.model.OutcomeSummary
+import org.apache.logging.log4j.LogManager
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.locks.LockSupport
+
+/** Holds what the control thread publishes to all other threads by one reference. */
+internal data class Published(
+    val state: ConfigurationState,
+    val view: FleetView,
+    val held: Set<MoveId>,
+    val readiness: Readiness,
+)
+
+/** Drains the rings, ticks the aggregates and publishes what has changed. */
+internal class ControlThread(
+    private val settings: ControlPlaneSettings,
+    private val core: ControlCore,
+    private val events: ControlRing<ControlEvent>,
+    private val summaries: ControlRing<OutcomeSummary>,
+    private val onChange: (ConfigurationState, FleetView, Set<MoveId>) -> Unit,
+) : Thread("control") {
+    @Volatile
+    private var isStopped = false
+
+    /** Latest published values. */
+    @Volatile
+    var published = Published(core.state, core.view, core.held, core.readiness())
+        private set
+
+    init {
+        isDaemon = true
+        events.attach(this)
+        summaries.attach(this)
+    }
+
+    fun shutdown() {
+        isStopped = true
+        LockSupport.unpark(this)
+    }
+
+    override fun run() {
+        guarded { core.start(nowMillis()) }
+        var nextTickMillis = nowMillis()
+        while (!isStopped) {
+            repeat(MAX_BATCH) {
+                val event = events.poll() ?: return@repeat
+                guarded { core.handle(event, nowMillis()) }
+            }
+            repeat(MAX_BATCH) {
+                val summary = summaries.poll() ?: return@repeat
+                guarded { core.observe(summary) }
+            }
+            if (nowMillis() >= nextTickMillis) {
+                nextTickMillis = nowMillis() + settings.tickMillis
+                guarded { core.tick(nowMillis()) }
+            }
+            publish()
+            waitUntil(nextTickMillis)
+        }
+    }
+
+    private fun publish() {
+        val before = published
+        val isSame =
+            before.state === core.state &&
+                before.view.revision == core.view.revision &&
+                before.held == core.held
+        val readiness = core.readiness()
+        if (isSame && before.readiness == readiness) return
+        published = Published(core.state, core.view, core.held, readiness)
+        if (!isSame) guarded { onChange(core.state, core.view, core.held) }
+    }
+
+    private fun waitUntil(tickMillis: Long) {
+        val waitMillis = tickMillis - nowMillis()
+        if (waitMillis <= 0 || !events.isEmpty() || !summaries.isEmpty()) return
+        LockSupport.parkNanos(this, TimeUnit.MILLISECONDS.toNanos(waitMillis))
+    }
+
+    /** Keeps the thread alive: one message that cannot be handled must not stop the control plane. */
+    private fun guarded(step: () -> Unit) {
+        try {
+            step()
+        } catch (e: RuntimeException) {
+            LOG.error("control step failed", e)
+        }
+    }
+
+    private fun nowMillis(): Long = TimeUnit.NANOSECONDS.toMillis(System.nanoTime())
+
+    private companion object {
+        const val MAX_BATCH = 256
+        val LOG = LogManager.getLogger(ControlThread::class.java)
+    }
+}
--- /dev/null
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
@@ -0,0 +1,269 @@
+package dev.baobabhollow.peers
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import dev.baobabhollow.configuration.ConfigurationReplica
+import dev.baobabhollow.configuration.OfferResult
+import dev.baobabhollow.configuration.RecordBatch
+import dev.baobabhollow.configuration.StateTransfer
+import dev.baobabhollow.configuration.contentHash
+import dev.baobabhollow.membership.FleetView
+import dev.baobabhollow.model.ConfigurationState
+import dev.baobabhollow.model.Endpoint
+import dev.baobabhollow.model.LogBatch
+import dev.baobabhollow.model.NodeRecord
+import org.apache.logging.log4j.LogManager
+import java.util.random.RandomGenerator
+
+/**
+ * Brings the configuration to this node and on to its peers: pushes new records, pulls what is missing and answers pulls.
+ * Belongs to the control thread.
+ */
+internal class Dissemination(
+    private val self: NodeRecord,
+    private val settings: ControlPlaneSettings,
+    private val outbox: Outbox,
+    private val metrics: ControlMetrics,
+    private val random: RandomGenerator,
+    private val post: (ControlEvent) -> Unit,
+) {
+    private val replica = ConfigurationReplica()
+    private val backoff = Backoff(settings.minBackoffMillis, settings.maxBackoffMillis, random)
+    private val limit = TransferLimit(settings.transfersPerSecond)
+    private var ahead: Endpoint? = null
+    private var isPulling = false
+    private var nextPullAtMillis = 0L
+
+    /** A pull counts as failed then, even if its answer was lost because the ring was full. */
+    private var pullTimeoutMillis = 0L
+
+    /** Is renewed once for each offset, because hashing the whole state on each probe would cost too much. */
+    var position = Position(replica.state.offset, replica.state.version, contentHash(replica.state), false)
+        private set
+
+    val state: ConfigurationState get() = replica.state
+
+    /** Compares the [theirs] position of a peer at [endpoint] with the own one. */
+    fun compare(
+        theirs: Position,
+        endpoint: Endpoint,
+        nowMillis: Long,
+    ) {
+        if (theirs.offset == position.offset) {
+            if (theirs.contentHash != position.contentHash) reportDivergence(endpoint)
+            if (theirs.isConfirmed) confirm()
+            return
+        }
+        if (theirs.offset < position.offset) return
+        if (ahead == null && !isPulling) {
+            nextPullAtMillis = maxOf(nextPullAtMillis, nowMillis + random.nextLong(settings.pullJitterMillis + 1))
+        }
+        ahead = endpoint
+    }
+
+    /** Remembers that the peer at [endpoint] pushed records through [offset]. */
+    fun notePush(
+        offset: Long,
+        endpoint: Endpoint,
+        nowMillis: Long,
+    ) {
+        if (offset > position.offset) compare(position.copy(offset = offset), endpoint, nowMillis)
+    }
+
+    /** Pulls when a peer is known to be ahead, or from any peer while no state has been obtained. */
+    fun tick(
+        view: FleetView,
+        nowMillis: Long,
+    ) {
+        if (isPulling && nowMillis < pullTimeoutMillis) return
+        if (nowMillis < nextPullAtMillis) return
+        val source = ahead ?: anyPeer(view).takeIf { !position.isConfirmed } ?: return
+        isPulling = true
+        pullTimeoutMillis = nowMillis + settings.requestTimeoutMillis * 2
+        outbox.request(source, Pull(position.offset)) { post(ControlEvent.PullAnswered(it)) }
+    }
+
+    /** Pulls from any peer, because the log no longer has what comes next. */
+    fun askAnyPeer(view: FleetView) {
+        if (ahead == null) ahead = anyPeer(view)
+    }
+
+    fun takePullAnswer(
+        answer: Result<PeerFrame, PeerError>,
+        view: FleetView,
+        nowMillis: Long,
+    ) {
+        isPulling = false
+        ahead = null
+        when (val body = answer.fold({ it.body }, { null })) {
+            is Push -> take(body.batch, view).also { backoff.reset() }
+            is WholeState -> take(body.transfer).also { backoff.reset() }
+            is NothingNew -> takeNothingNew(body, nowMillis)
+            is Refused -> waitAfterRefusal(body, nowMillis)
+            else -> nextPullAtMillis = nowMillis + backoff.nextMillis()
+        }
+    }
+
+    private fun takeNothingNew(
+        answer: NothingNew,
+        nowMillis: Long,
+    ) {
+        if (answer.position.isConfirmed && answer.position.offset == position.offset) confirm()
+        nextPullAtMillis = nowMillis + backoff.nextMillis()
+    }
+
+    fun takePushAnswer(
+        answer: Result<PeerFrame, PeerError>,
+        receiver: Endpoint,
+        nowMillis: Long,
+    ) {
+        val body = answer.fold({ it.body }, { null })
+        if (body is NothingNew) compare(body.position, receiver, nowMillis)
+    }
+
+    /** Answers [body] of a peer. */
+    fun answer(
+        body: FrameBody,
+        view: FleetView,
+        nowMillis: Long,
+    ): FrameBody =
+        when (body) {
+            is Pull -> answerPull(body, nowMillis)
+            is Push -> answerPush(body, view)
+            else -> NothingNew(position)
+        }
+
+    /** Takes in what the log returned. */
+    fun takeLogBatch(
+        afterOffset: Long,
+        batch: LogBatch,
+        view: FleetView,
+    ) {
+        if (batch.entries.isNotEmpty()) take(RecordBatch(afterOffset, batch.entries), view, isLogReader = true)
+        if (position.offset >= afterOffset) confirm()
+    }
+
+    fun takeLogState(state: ConfigurationState) {
+        if (state.offset > position.offset) take(StateTransfer(state, contentHash(state)))
+        confirm()
+    }
+
+    private fun take(
+        batch: RecordBatch,
+        view: FleetView,
+        isLogReader: Boolean = false,
+    ) {
+        val before = position.offset
+        when (val result = replica.offer(batch)) {
+            is OfferResult.Applied -> {
+                moveOn()
+                push(RecordBatch(before, batch.entries.filter { it.offset > before }), view, isLogReader)
+            }
+
+            is OfferResult.Rejected -> {
+                metrics.countIgnored("rejected batch")
+                LOG.warn("batch rejected: {}", result.reason)
+            }
+
+            else -> {
+                Unit
+            }
+        }
+    }
+
+    private fun take(transfer: StateTransfer) {
+        when (val result = replica.offer(transfer)) {
+            is OfferResult.Applied -> {
+                moveOn()
+            }
+
+            is OfferResult.Rejected -> {
+                metrics.countIgnored("rejected state")
+                LOG.warn("state rejected: {}", result.reason)
+            }
+
+            else -> {
+                Unit
+            }
+        }
+    }
+
+    private fun moveOn() {
+        position = Position(state.offset, state.version, contentHash(state))
+        metrics.showPosition(position)
+    }
+
+    private fun confirm() {
+        if (!position.isConfirmed) position = position.copy(isConfirmed = true)
+    }
+
+    /** Pushes to random peers, by preference of the own domain; a log reader serves at least one other domain. */
+    private fun push(
+        batch: RecordBatch,
+        view: FleetView,
+        isLogReader: Boolean,
+    ) {
+        val (near, far) =
+            view
+                .live()
+                .filter {
+                    it.node != self.node
+                }.partition { it.failureDomain == self.failureDomain }
+        val farCount = if (isLogReader) minOf(1, far.size) else 0
+        val ordered = far.inRandomOrder(random)
+        val chosen = ordered.take(farCount) + near.inRandomOrder(random).take(settings.pushFanOut - farCount)
+        val rest = if (near.isEmpty()) ordered.drop(farCount) else emptyList()
+        (chosen + rest).take(settings.pushFanOut).forEach { peer ->
+            outbox.request(peer.controlEndpoint, Push(batch)) {
+                post(ControlEvent.PushAnswered(it, peer.controlEndpoint))
+            }
+        }
+    }
+
+    private fun answerPull(
+        pull: Pull,
+        nowMillis: Long,
+    ): FrameBody {
+        if (pull.afterOffset >= position.offset) return counted("nothing", NothingNew(position))
+        replica.recordsAfter(pull.afterOffset)?.let { return counted("records", Push(it)) }
+        limit.admit(nowMillis)?.let { return counted("refused", Refused(it)) }
+        return counted("state", WholeState(StateTransfer(state, position.contentHash)))
+    }
+
+    private fun answerPush(
+        push: Push,
+        view: FleetView,
+    ): FrameBody {
+        take(push.batch, view)
+        return NothingNew(position)
+    }
+
+    private fun counted(
+        answer: String,
+        body: FrameBody,
+    ): FrameBody = body.also { metrics.countTransfer(answer) }
+
+    private fun waitAfterRefusal(
+        refused: Refused,
+        nowMillis: Long,
+    ) {
+        val wait = refused.retryAfterMillis.coerceIn(0, settings.maxBackoffMillis)
+        nextPullAtMillis = nowMillis + wait + backoff.nextMillis()
+    }
+
+    private fun anyPeer(view: FleetView): Endpoint? {
+        val known = view.live().filter { it.node != self.node }.map { it.controlEndpoint }
+        val candidates = (known + settings.seeds).filter { it != self.controlEndpoint }.distinct()
+        if (candidates.isEmpty()) return null
+        return candidates[random.nextInt(candidates.size)]
+    }
+
+    private fun reportDivergence(endpoint: Endpoint) {
+        metrics.countDivergence()
+        LOG.error("the node at {} holds another state at offset {}", endpoint, position.offset)
+    }
+
+    private companion object {
+        val LOG = LogManager.getLogger(Dissemination::class.java)
+    }
+}
--- /dev/null
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/LogReader.kt
@@ -0,0 +1,148 @@
+package dev.baobabhollow.peers
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import dev.baobabhollow.configuration.SnapshotSearch
+import dev.baobabhollow.model.LogBatch
+import dev.baobabhollow.model.LogError
+import dev.baobabhollow.model.PlatformLog
+import dev.baobabhollow.model.StreamName
+import org.apache.logging.log4j.LogManager
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ExecutionException
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
+import java.util.concurrent.locks.LockSupport
+import java.util.random.RandomGenerator
+
+/** Tells the log reader whether to read and which offset the node holds. */
+internal data class ReaderOrder(
+    val isActive: Boolean,
+    val offset: Long,
+)
+
+/** Long-polls the configuration stream while its order says so, and hands everything to the control thread. */
+internal class LogReader(
+    private val log: PlatformLog,
+    private val clock: () -> Long,
+    private val settings: ControlPlaneSettings,
+    private val metrics: ControlMetrics,
+    random: RandomGenerator,
+    private val post: (ControlEvent) -> Boolean,
+) : Thread("log-reader") {
+    private val backoff = Backoff(settings.minBackoffMillis, settings.maxBackoffMillis, random)
+
+    @Volatile
+    private var isStopped = false
+
+    @Volatile
+    private var order = ReaderOrder(false, -1)
+
+    init {
+        isDaemon = true
+    }
+
+    /** Changes the order; callable from any thread. */
+    fun follow(next: ReaderOrder) {
+        if (next == order) return
+        order = next
+        LockSupport.unpark(this)
+    }
+
+    fun shutdown() {
+        isStopped = true
+        interrupt()
+    }
+
+    override fun run() {
+        while (!isStopped) {
+            try {
+                if (order.isActive) readOnce() else LockSupport.parkNanos(IDLE_NANOS)
+            } catch (_: InterruptedException) {
+                continue
+            } catch (e: RuntimeException) {
+                LOG.error("log reader failed", e)
+                pauseMillis(backoff.nextMillis())
+            }
+        }
+    }
+
+    private fun readOnce() {
+        val after = order.offset
+        read(after, clock() + settings.longPollMillis).fold(
+            success = { if (it.earliestOffset > after + 1) recover(it.earliestOffset) else accept(after, it) },
+            failure = { handle(it) },
+        )
+    }
+
+    private fun accept(
+        after: Long,
+        batch: LogBatch,
+    ) {
+        backoff.reset()
+        hand { ControlEvent.LogRead(after, batch, it) }
+    }
+
+    private fun handle(error: LogError) {
+        post(ControlEvent.LogFailed(error))
+        if (error is LogError.Trimmed) recover(error.earliestOffset) else pauseMillis(backoff.nextMillis())
+    }
+
+    /** Waits for a state from peers, and rebuilds it from the log when none arrives. */
+    private fun recover(earliestOffset: Long) {
+        post(ControlEvent.LogFailed(LogError.Trimmed(earliestOffset)))
+        val giveUpNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(settings.requestTimeoutMillis)
+        while (order.offset < earliestOffset - 1 && System.nanoTime() < giveUpNanos) pauseMillis(POLL_MILLIS)
+        if (isStopped || order.offset >= earliestOffset - 1) return
+        searchSnapshot(earliestOffset)
+    }
+
+    private fun searchSnapshot(earliestOffset: Long) {
+        val search = SnapshotSearch(earliestOffset)
+        var after = earliestOffset - 1
+        while (!isStopped) {
+            val batch = read(after, clock()).fold({ it }, { null }) ?: return pauseMillis(backoff.nextMillis())
+            if (batch.earliestOffset > earliestOffset && after < batch.earliestOffset - 1) return
+            batch.entries.forEach(search::add)
+            after = batch.entries.lastOrNull()?.offset ?: break
+            if (after + 1 >= batch.nextOffset) break
+        }
+        val found = search.state
+        if (found == null) {
+            LOG.warn("no usable snapshot in the log from offset {} on", earliestOffset)
+            return pauseMillis(backoff.nextMillis())
+        }
+        backoff.reset()
+        hand { ControlEvent.LogStateFound(found, it) }
+    }
+
+    private fun read(
+        after: Long,
+        waitUntilMillis: Long,
+    ): Result<LogBatch, LogError> {
+        val result = log.read(StreamName.CONFIGURATION, after, settings.maxReadRecords, waitUntilMillis)
+        metrics.countLogCall("read", result.fold({ "ok" }, { it::class.simpleName.orEmpty() }))
+        return result
+    }
+
+    /** Hands an event over and waits until it is taken in, so that the next read starts behind it. */
+    private fun hand(event: (CompletableFuture<Unit>) -> ControlEvent) {
+        val done = CompletableFuture<Unit>()
+        if (!post(event(done))) return pauseMillis(backoff.nextMillis())
+        try {
+            done.get(settings.requestTimeoutMillis, TimeUnit.MILLISECONDS)
+        } catch (e: TimeoutException) {
+            LOG.warn("control thread did not take in a batch in time", e)
+        } catch (e: ExecutionException) {
+            LOG.error("control thread could not take in a batch", e)
+        }
+    }
+
+    private fun pauseMillis(millis: Long) = LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis))
+
+    private companion object {
+        val IDLE_NANOS = TimeUnit.SECONDS.toNanos(1)
+        const val POLL_MILLIS = 50L
+        val LOG = LogManager.getLogger(LogReader::class.java)
+    }
+}
--- /dev/null
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/LogWriter.kt
@@ -0,0 +1,122 @@
+package dev.baobabhollow.peers
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.map
+import dev.baobabhollow.configuration.APPEND_RETRY_LIMIT_MILLIS
+import dev.baobabhollow.model.LogError
+import dev.baobabhollow.model.LogRecord
+import dev.baobabhollow.model.PlatformLog
+import dev.baobabhollow.model.RecordBody
+import dev.baobabhollow.model.StreamName
+import dev.baobabhollow.model.WriterId
+import org.apache.logging.log4j.LogManager
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.locks.LockSupport
+import java.util.random.RandomGenerator
+
+/** Asks for an append of [body] as long as [isWanted]. [isRepeated] is false for records that need no second attempt. */
+internal data class AppendRequest(
+    val body: RecordBody,
+    val isRepeated: Boolean = true,
+    val isWanted: () -> Boolean,
+)
+
+/**
+ * Appends records one after the other. After an unknown outcome it appends the same sequence again, for at most
+ * [APPEND_RETRY_LIMIT_MILLIS], within which every reader still knows this writer and drops the repeat.
+ */
+internal class LogWriter(
+    private val log: PlatformLog,
+    private val writer: WriterId,
+    private val clock: () -> Long,
+    private val settings: ControlPlaneSettings,
+    private val metrics: ControlMetrics,
+    random: RandomGenerator,
+    private val post: (ControlEvent) -> Boolean,
+) : Thread("log-writer") {
+    private val ring = ControlRing<AppendRequest>("appends", settings.maxQueuedAppends, metrics)
+    private val backoff = Backoff(settings.minBackoffMillis, MAX_BACKOFF_MILLIS, random)
+    private var sequence = 0L
+
+    @Volatile
+    private var isStopped = false
+
+    init {
+        isDaemon = true
+        ring.attach(this)
+    }
+
+    /** Queues [request]; returns false when the ring is full. */
+    fun offer(request: AppendRequest): Boolean = ring.offer(request)
+
+    fun shutdown() {
+        isStopped = true
+        interrupt()
+    }
+
+    override fun run() {
+        while (!isStopped) {
+            val request = ring.poll()
+            if (request == null) {
+                LockSupport.parkNanos(IDLE_NANOS)
+                continue
+            }
+            try {
+                handle(request)
+            } catch (_: InterruptedException) {
+                continue
+            }
+        }
+    }
+
+    private fun handle(request: AppendRequest) {
+        val record = LogRecord(writer, ++sequence, request.body)
+        val offset = appendUntilKnown(record, request)
+        while (!post(ControlEvent.AppendFinished(record, offset)) && !isStopped) pauseMillis(settings.minBackoffMillis)
+    }
+
+    private fun appendUntilKnown(
+        record: LogRecord,
+        request: AppendRequest,
+    ): Long? {
+        val startedNanos = System.nanoTime()
+        backoff.reset()
+        while (!isStopped && request.isWanted()) {
+            val error = append(record).fold({ return it }, { it })
+            val elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos)
+            if (!request.isRepeated || elapsedMillis > APPEND_RETRY_LIMIT_MILLIS) return null
+            pauseMillis(waitMillis(error))
+        }
+        return null
+    }
+
+    private fun append(record: LogRecord): Result<Long, LogError> {
+        val result =
+            try {
+                log.append(StreamName.CONFIGURATION, listOf(record), clock() + settings.appendTimeoutMillis)
+            } catch (e: RuntimeException) {
+                LOG.error("append failed", e)
+                Err(LogError.OutcomeUnknown(e.toString()))
+            }
+        metrics.countLogCall("append", result.fold({ "ok" }, { it::class.simpleName.orEmpty() }))
+        return result.map { it.offsets.first() }
+    }
+
+    private fun waitMillis(error: LogError): Long {
+        val drawn = backoff.nextMillis()
+        if (error !is LogError.RateLimited) return drawn
+        return drawn + (error.retryAtMillis - clock()).coerceIn(0, MAX_BACKOFF_MILLIS)
+    }
+
+    private fun pauseMillis(millis: Long) = LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis))
+
+    private companion object {
+        /** Stays short, because a waiting take-back keeps a move undecided. */
+        const val MAX_BACKOFF_MILLIS = 2_000L
+        val IDLE_NANOS = TimeUnit.SECONDS.toNanos(1)
+        val LOG = LogManager.getLogger(LogWriter::class.java)
+    }
+}
--- /dev/null
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/PeerTransport.kt
@@ -0,0 +1,230 @@
+package dev.baobabhollow.peers
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.fold
+import dev.baobabhollow.model.Endpoint
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.ASocket
+import io.ktor.network.sockets.BoundDatagramSocket
+import io.ktor.network.sockets.Datagram
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.awaitClosed
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.readInt
+import io.ktor.utils.io.writeByteArray
+import io.ktor.utils.io.writeInt
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.sync.withPermit
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.Buffer
+import kotlinx.io.readByteArray
+import org.apache.logging.log4j.LogManager
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+
+/** Receives what arrives from peers, on threads of the transport. */
+internal interface PeerHandler {
+    fun onDatagram(datagram: PeerDatagram)
+
+    /** Must call [reply] at most once; a request without a reply times out. */
+    fun onRequest(
+        frame: PeerFrame,
+        reply: (PeerFrame) -> Unit,
+    )
+}
+
+/** Exchanges datagrams and frames with other nodes on one port. Each connection carries one request and one answer. */
+internal class PeerTransport(
+    private val endpoint: Endpoint,
+    private val settings: ControlPlaneSettings,
+    private val metrics: ControlMetrics,
+    private val handler: PeerHandler,
+) : AutoCloseable {
+    private class Outgoing(
+        val to: Endpoint,
+        val bytes: ByteArray,
+    )
+
+    private val threads =
+        Executors.newFixedThreadPool(THREADS) { task ->
+            Thread(task, "peer-io-${endpoint.port}").apply { isDaemon = true }
+        }
+    private val dispatcher = threads.asCoroutineDispatcher()
+    private val scope = CoroutineScope(SupervisorJob() + dispatcher)
+    private val selector = SelectorManager(dispatcher)
+    private val outgoing = Channel<Outgoing>(settings.ringCapacity)
+    private val sockets = mutableListOf<ASocket>()
+    private val incomingSlots = Semaphore(settings.maxConnections)
+    private val outgoingSlots = Semaphore(settings.maxConnections)
+
+    /** Binds both sockets. Throws when the port is taken. */
+    fun start() {
+        val address = InetSocketAddress(endpoint.host, endpoint.port)
+        val udp = runBlocking(dispatcher) { aSocket(selector).udp().bind(address) }.also(sockets::add)
+        val tcp = runBlocking(dispatcher) { aSocket(selector).tcp().bind(address) }.also(sockets::add)
+        scope.launch { receiveDatagrams(udp) }
+        scope.launch { sendDatagrams(udp) }
+        scope.launch { acceptConnections(tcp) }
+    }
+
+    fun send(
+        to: Endpoint,
+        bytes: ByteArray,
+    ) {
+        if (outgoing.trySend(Outgoing(to, bytes)).isFailure) metrics.countFullRing("datagrams")
+    }
+
+    /** Sends [frame] to the node at [to] and calls [onAnswer] once, on a thread of the transport. */
+    fun request(
+        to: Endpoint,
+        frame: PeerFrame,
+        onAnswer: (Result<PeerFrame, PeerError>) -> Unit,
+    ) {
+        scope.launch {
+            onAnswer(outgoingSlots.withPermit { exchange(to, frame) })
+        }
+    }
+
+    /** Frees the port before it returns, so that a restarted node can bind it. */
+    override fun close() {
+        scope.cancel()
+        runBlocking {
+            withTimeoutOrNull(CLOSE_MILLIS) {
+                sockets.forEach {
+                    it.close()
+                    it.awaitClosed()
+                }
+            }
+        }
+        selector.close()
+        threads.shutdown()
+        if (!threads.awaitTermination(CLOSE_MILLIS, TimeUnit.MILLISECONDS)) threads.shutdownNow()
+    }
+
+    private suspend fun receiveDatagrams(socket: BoundDatagramSocket) =
+        repeatUntilCancelled {
+            val bytes = socket.receive().packet.readByteArray()
+            metrics.countReceived(UDP, bytes.size)
+            if (bytes.size > settings.maxDatagramBytes) return@repeatUntilCancelled metrics.countIgnored("too long")
+            PeerCodec.decodeDatagram(bytes).fold(handler::onDatagram) { metrics.countIgnored("garbage") }
+        }
+
+    private suspend fun sendDatagrams(socket: BoundDatagramSocket) =
+        repeatUntilCancelled {
+            val next = outgoing.receive()
+            val packet = Buffer().apply { write(next.bytes) }
+            socket.send(Datagram(packet, InetSocketAddress(next.to.host, next.to.port)))
+            metrics.countSent(UDP, next.bytes.size)
+        }
+
+    private suspend fun acceptConnections(server: ServerSocket) =
+        repeatUntilCancelled {
+            val socket = server.accept()
+            if (!incomingSlots.tryAcquire()) {
+                metrics.countIgnored("too many connections")
+                return@repeatUntilCancelled socket.close()
+            }
+            scope.launch {
+                try {
+                    withTimeoutOrNull(settings.requestTimeoutMillis) { serve(socket) }
+                } catch (e: CancellationException) {
+                    throw e
+                } catch (e: Exception) {
+                    metrics.countIgnored("connection failed")
+                    LOG.debug("connection failed", e)
+                } finally {
+                    incomingSlots.release()
+                    socket.close()
+                }
+            }
+        }
+
+    private suspend fun serve(socket: Socket) {
+        val read = readFrame(socket.openReadChannel())
+        val request = read.fold({ it }) { return metrics.countIgnored("garbage") }
+        val answer = CompletableDeferred<PeerFrame>()
+        handler.onRequest(request) { answer.complete(it) }
+        writeFrame(socket.openWriteChannel(), answer.await())
+    }
+
+    private suspend fun exchange(
+        to: Endpoint,
+        frame: PeerFrame,
+    ): Result<PeerFrame, PeerError> =
+        try {
+            withTimeoutOrNull(settings.requestTimeoutMillis) {
+                aSocket(selector).tcp().connect(to.host, to.port).use { socket ->
+                    writeFrame(socket.openWriteChannel(), frame)
+                    readFrame(socket.openReadChannel())
+                }
+            } ?: Err(PeerError.NoAnswer("timeout"))
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            Err(PeerError.NoAnswer(e.toString()))
+        }
+
+    private suspend fun readFrame(channel: ByteReadChannel): Result<PeerFrame, PeerError> {
+        val size = channel.readInt()
+        if (size !in 1..settings.maxFrameBytes) return Err(PeerError.TooLong(size))
+        val bytes = channel.readByteArray(size)
+        metrics.countReceived(TCP, bytes.size + Int.SIZE_BYTES)
+        return Ok(bytes).andThen(PeerCodec::decodeFrame)
+    }
+
+    private suspend fun writeFrame(
+        channel: ByteWriteChannel,
+        frame: PeerFrame,
+    ) {
+        val bytes = PeerCodec.encode(frame)
+        channel.writeInt(bytes.size)
+        channel.writeByteArray(bytes)
+        channel.flush()
+        metrics.countSent(TCP, bytes.size + Int.SIZE_BYTES)
+    }
+
+    private suspend fun repeatUntilCancelled(step: suspend () -> Unit) {
+        while (scope.isActive) {
+            try {
+                step()
+            } catch (e: CancellationException) {
+                throw e
+            } catch (e: Exception) {
+                metrics.countIgnored("socket error")
+                LOG.debug("socket error", e)
+                delay(ERROR_PAUSE_MILLIS)
+            }
+        }
+    }
+
+    private companion object {
+        /** One thread waits in the selector, the other runs everything else. */
+        const val THREADS = 2
+        const val CLOSE_MILLIS = 1_000L
+        const val ERROR_PAUSE_MILLIS = 10L
+        const val UDP = "udp"
+        const val TCP = "tcp"
+        val LOG = LogManager.getLogger(PeerTransport::class.java)
+    }
+}
--- /dev/null
+++ b/peers/src/test/kotlin/dev/baobabhollow/peers/DistributionSpec.kt
@@ -0,0 +1,116 @@
+package dev.baobabhollow.peers
+
+import dev.baobabhollow.model.FailureDomainId
+import dev.baobabhollow.model.NodeId
+import dev.baobabhollow.model.NodeStatus
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration.Companion.seconds
+
+class DistributionSpec :
+    DescribeSpec({
+        describe("control planes of three failure domains") {
+            val names = arrayOf("a-1", "a-2", "a-3", "b-1", "b-2", "b-3", "c-1", "c-2", "c-3")
+            val fleet = TestFleet()
+            fleet.reserve(*names)
+            fleet.startAll()
+            afterSpec { fleet.close() }
+
+            it("become ready on an empty log and see one another") {
+                fleet.awaitAll {
+                    it.plane.isReady && it.plane.view
+                        .live()
+                        .size == names.size
+                }
+            }
+
+            // Guards against records that reach the log readers only.
+            it("all reach a new version") {
+                fleet.publish(0)
+                fleet.awaitAll(5) { it.plane.state.version == 1L }
+            }
+
+            // Guards against a domain that depends on its own connection to the platform.
+            it("bring a version to a domain that is cut off from the platform") {
+                fleet.cutFromLog += FailureDomainId("c")
+                fleet.publish(1)
+                fleet.awaitAll(5) { it.plane.state.version == 2L }
+                fleet.cutFromLog.clear()
+            }
+
+            // Guards against a domain that stays behind after a partition, and against entries lost in it.
+            it("bring a domain up to date that was cut off from everything") {
+                fleet.cutFromLog += FailureDomainId("b")
+                fleet.cutFromPeers += FailureDomainId("b")
+                fleet.publish(2)
+                fleet.awaitAll(5) { it.plane.state.version == if (it.record.failureDomain.value == "b") 2L else 3L }
+                fleet.nodes
+                    .getValue(NodeId("a-1"))
+                    .plane.view
+                    .liveIn(FailureDomainId("b"))
+                    .size shouldBe 3
+                fleet.cutFromPeers.clear()
+                fleet.awaitAll(5) { it.plane.state.version == 3L }
+                fleet.cutFromLog.clear()
+            }
+
+            // Guards against a restart that needs the platform log, and against a node that forgets its incarnation.
+            it("restore a restarted node from its neighbours while the log is down") {
+                fleet.log.isDown = true
+                fleet.stop("a-1")
+                val restarted = fleet.start("a-1", incarnation = 2)
+                eventually(5.seconds) {
+                    restarted.plane.isReady shouldBe true
+                    restarted.plane.state.version shouldBe 3
+                }
+                fleet.log.isDown = false
+            }
+
+            // Guards against a fleet that sends calls to a node which is about to stop.
+            it("announce a leaving node everywhere") {
+                fleet.nodes
+                    .getValue(NodeId("c-3"))
+                    .plane
+                    .leave(System.currentTimeMillis() + 3_000) shouldBe true
+                fleet.awaitAll(3) {
+                    it.plane.view.nodes[NodeId("c-3")]
+                        ?.status == NodeStatus.LEAVING
+                }
+            }
+
+            // Guards against log reads that grow with the fleet: two long polls for each domain, not one for each node.
+            it("read the log by two nodes of each domain only") {
+                val before = fleet.log.reads.get()
+                fleet.publish(3)
+                fleet.awaitAll(5) { it.plane.state.version == 4L }
+                fleet.log.reads.get() - before shouldBeLessThan 6 * 4
+            }
+
+            it("never go back") {
+                fleet.nodes.values.forEach { it.versions.toList() shouldBe it.versions.sorted() }
+            }
+        }
+
+        // Guards against a node that takes calls with an empty configuration.
+        describe("a node without neighbours while the log is down") {
+            it("is not ready, says why, and recovers with the log") {
+                TestFleet().use { fleet ->
+                    fleet.reserve("a-1", "a-2")
+                    fleet.log.isDown = true
+                    fleet.publish(0)
+                    val node = fleet.start("a-1")
+                    eventually(5.seconds) {
+                        node.plane.readiness.lacking
+                            .last()
+                            .contains("down") shouldBe true
+                    }
+                    node.plane.isReady shouldBe false
+                    fleet.log.isDown = false
+                    eventually(10.seconds) { node.plane.isReady shouldBe true }
+                    node.plane.state.version shouldBe 1
+                }
+            }
+        }
+    })
--- /dev/null
+++ b/peers/src/test/kotlin/dev/baobabhollow/peers/FakePlatformLog.kt
@@ -0,0 +1,85 @@
+package dev.baobabhollow.peers
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import dev.baobabhollow.model.AppendReceipt
+import dev.baobabhollow.model.LogBatch
+import dev.baobabhollow.model.LogEntry
+import dev.baobabhollow.model.LogError
+import dev.baobabhollow.model.LogRecord
+import dev.baobabhollow.model.PlatformLog
+import dev.baobabhollow.model.StreamName
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Keeps the configuration stream in memory. [lostAnswers] appends take effect without an answer. */
+internal class FakePlatformLog {
+    private val entries = mutableListOf<LogEntry>()
+    private var earliest = 0L
+    private val lock = Object()
+    val reads = AtomicInteger()
+    val lostAnswers = AtomicInteger()
+
+    @Volatile
+    var isDown = false
+
+    fun records(): List<LogEntry> = synchronized(lock) { entries.toList() }
+
+    fun append(record: LogRecord): Long =
+        synchronized(lock) {
+            val offset = entries.size.toLong()
+            entries += LogEntry(offset, System.currentTimeMillis(), record)
+            lock.notifyAll()
+            offset
+        }
+
+    /** Drops all records below [offset]. */
+    fun trim(offset: Long) = synchronized(lock) { earliest = offset }
+
+    /** Returns the log as one failure domain sees it, which is cut off while [isCut] returns true. */
+    fun seenFrom(isCut: () -> Boolean): PlatformLog =
+        object : PlatformLog {
+            override fun append(
+                stream: StreamName,
+                records: List<LogRecord>,
+                deadlineMillis: Long,
+            ): Result<AppendReceipt, LogError> {
+                if (isDown || isCut()) return Err(LogError.Unavailable("down"))
+                val offsets = records.map(::append)
+                if (lostAnswers.getAndUpdate { maxOf(0, it - 1) } > 0) return Err(LogError.OutcomeUnknown("lost"))
+                return Ok(AppendReceipt(offsets, System.currentTimeMillis()))
+            }
+
+            override fun read(
+                stream: StreamName,
+                afterOffset: Long,
+                maxRecords: Int,
+                waitUntilMillis: Long,
+            ): Result<LogBatch, LogError> = readFrom(afterOffset, maxRecords, waitUntilMillis, isCut)
+        }
+
+    private fun readFrom(
+        after: Long,
+        max: Int,
+        waitUntilMillis: Long,
+        isCut: () -> Boolean,
+    ): Result<LogBatch, LogError> {
+        reads.incrementAndGet()
+        synchronized(lock) {
+            while (!isDown && !isCut() && entries.size <= after + 1) {
+                val leftMillis = waitUntilMillis - System.currentTimeMillis()
+                if (leftMillis <= 0) break
+                lock.wait(minOf(leftMillis, POLL_MILLIS))
+            }
+            if (isDown || isCut()) return Err(LogError.Unavailable("down"))
+            if (after + 1 < earliest) return Err(LogError.Trimmed(earliest))
+            val found = entries.filter { it.offset > after }.take(max)
+            return Ok(LogBatch(found, earliest, entries.size.toLong(), RETENTION_MILLIS))
+        }
+    }
+
+    private companion object {
+        const val POLL_MILLIS = 50L
+        const val RETENTION_MILLIS = 3_600_000L
+    }
+}
--- /dev/null
+++ b/peers/src/test/kotlin/dev/baobabhollow/peers/TestFleet.kt
@@ -0,0 +1,170 @@
+package dev.baobabhollow.peers
+
+import dev.baobabhollow.membership.MembershipSettings
+import dev.baobabhollow.model.Change
+import dev.baobabhollow.model.Endpoint
+import dev.baobabhollow.model.FailureDomainId
+import dev.baobabhollow.model.LogRecord
+import dev.baobabhollow.model.MemberConfig
+import dev.baobabhollow.model.MemberId
+import dev.baobabhollow.model.MoveId
+import dev.baobabhollow.model.MoveState
+import dev.baobabhollow.model.NodeId
+import dev.baobabhollow.model.NodeRecord
+import dev.baobabhollow.model.NodeStatus
+import dev.baobabhollow.model.Patch
+import dev.baobabhollow.model.PatchRecord
+import dev.baobabhollow.model.ReleaseId
+import dev.baobabhollow.model.ServiceId
+import dev.baobabhollow.model.TargetRecord
+import dev.baobabhollow.model.WriterId
+import dev.baobabhollow.moves.MoveDecision
+import dev.baobabhollow.moves.MoveJudge
+import io.kotest.assertions.nondeterministic.eventually
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import io.prometheus.metrics.model.snapshots.CounterSnapshot
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.util.Collections
+import java.util.SplittableRandom
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration.Companion.seconds
+
+/** Runs real control planes on loopback against one [log]. */
+internal class TestFleet(
+    val log: FakePlatformLog = FakePlatformLog(),
+    private val judgeFor: (NodeId, MoveId, MoveState) -> MoveJudge = { _, _, _ -> StubJudge() },
+) : AutoCloseable {
+    /** Failure domains that cannot reach the platform log. */
+    val cutFromLog: MutableSet<FailureDomainId> = ConcurrentHashMap.newKeySet()
+
+    /** Failure domains that cannot reach any other domain. */
+    val cutFromPeers: MutableSet<FailureDomainId> = ConcurrentHashMap.newKeySet()
+    val nodes = LinkedHashMap<NodeId, TestNode>()
+    private val endpoints = LinkedHashMap<NodeId, Endpoint>()
+
+    fun reserve(vararg names: String) = names.forEach { endpoints[NodeId(it)] = Endpoint(HOST, freePort()) }
+
+    /** Starts the node [name], whose failure domain is the part before the dash. */
+    fun start(
+        name: String,
+        incarnation: Long = 1,
+    ): TestNode {
+        val id = NodeId(name)
+        val domain = FailureDomainId(name.substringBefore('-'))
+        val own = endpoints.getValue(id)
+        val record = NodeRecord(id, domain, incarnation, NodeStatus.ALIVE, own, own, own, TARGET)
+        val registry = PrometheusRegistry()
+        val node = TestNode(record, registry)
+        val drops = { other: FailureDomainId -> other != domain && (other in cutFromPeers || domain in cutFromPeers) }
+        node.plane =
+            ControlPlane(
+                settings = SETTINGS.copy(seeds = endpoints.values.toList()),
+                self = record,
+                log = log.seenFrom { domain in cutFromLog },
+                clock = System::currentTimeMillis,
+                random = SplittableRandom(name.hashCode().toLong()),
+                registry = registry,
+                callbacks =
+                    ControlCallbacks(
+                        judgeFor = { move, state -> judgeFor(id, move, state) },
+                        onChange = { state, _, _ -> node.versions += state.version },
+                        dropsControl = drops,
+                    ),
+            )
+        node.plane.start()
+        nodes[id] = node
+        return node
+    }
+
+    fun startAll() = endpoints.keys.forEach { start(it.value) }
+
+    fun stop(name: String) = checkNotNull(nodes.remove(NodeId(name))).plane.close()
+
+    /** Appends a patch that creates the version after [baseVersion]. */
+    fun publish(
+        baseVersion: Long,
+        vararg changes: Change,
+    ): Long {
+        val patch = Patch(changes.toList().ifEmpty { listOf(putMember(baseVersion)) })
+        return log.append(
+            LogRecord(WriterId("cli-$baseVersion-${log.records().size}"), 1, PatchRecord(baseVersion, "ana", patch)),
+        )
+    }
+
+    suspend fun awaitAll(
+        seconds: Int = 15,
+        condition: (TestNode) -> Boolean,
+    ) = eventually(seconds.seconds) {
+        val missing = nodes.values.filterNot(condition).map { it.record.node.value to it.plane.state.version }
+        check(missing.isEmpty()) { "condition does not hold on $missing" }
+    }
+
+    override fun close() = nodes.values.forEach { it.plane.close() }
+
+    companion object {
+        const val HOST = "127.0.0.1"
+        val TARGET = TargetRecord(ServiceId("vitrina"), ReleaseId("7"), 12, 100)
+
+        /** Short periods keep the tests quick; their ratios are those of the defaults. */
+        val SETTINGS =
+            ControlPlaneSettings(
+                membership =
+                    MembershipSettings(
+                        probePeriodMillis = 200,
+                        directProbeMillis = 70,
+                        digestPeriodMillis = 200,
+                        urgentPeriodMillis = 50,
+                        isolatedAfterMillis = 600,
+                        isolationGraceMillis = 3_000,
+                    ),
+                tickMillis = 20,
+                requestTimeoutMillis = 1_000,
+                peerSilenceMillis = 1_500,
+                startGraceMillis = 500,
+                longPollMillis = 1_000,
+                moveDecisionMillis = 50,
+                summaryPeriodMillis = 100,
+                leadDelayMillis = 1_000,
+                leadSilenceMillis = 600,
+                maxBackoffMillis = 1_000,
+            )
+
+        fun putMember(number: Long) = Change.PutMember(MemberId("member-$number"), MemberConfig("Member $number"))
+
+        private fun freePort(): Int = ServerSocket().use { it.bind(InetSocketAddress(HOST, 0)).run { it.localPort } }
+    }
+}
+
+/** Holds one running control plane and the versions it has published, in order. */
+internal class TestNode(
+    val record: NodeRecord,
+    private val registry: PrometheusRegistry,
+) {
+    lateinit var plane: ControlPlane
+    val versions: MutableList<Long> = Collections.synchronizedList(mutableListOf())
+
+    /** Returns the sum of the counter [name] over all points that have [label] as the value of any label. */
+    fun count(
+        name: String,
+        label: String? = null,
+    ): Double {
+        val snapshot = registry.scrape { it == name }.firstOrNull() as? CounterSnapshot ?: return 0.0
+        return snapshot.dataPoints
+            .filter { p ->
+                label == null || p.labels.any { it.value == label }
+            }.sumOf { it.value }
+    }
+}
+
+/** Decides what [next] returns. */
+internal class StubJudge(
+    private val next: (MoveState) -> MoveDecision = { MoveDecision.Hold("stub") },
+) : MoveJudge {
+    override fun observe(summary: dev.baobabhollow.model.OutcomeSummary) = Unit
+
+    override fun decide(
+        move: MoveState,
+        nowMillis: Long,
+    ): MoveDecision = next(move)
+}
