--- a/membership/src/main/kotlin/dev/baobabhollow/membership/Fleet.kt
+++ b/membership/src/main/kotlin/dev/baobabhollow/membership/Fleet.kt
@@ -32,6 +32,9 @@
     private var grouped: Map<FailureDomainId, List<NodeRecord>> = emptyMap()
 
     init {
+        require(
+            CompactRecord.of(self).maxBytes <= settings.maxRecordBytes,
+        ) { "names of node ${self.node} are too long" }
         table.put(self)
         updates.add(self)
     }
@@ -77,16 +80,18 @@
         if (isUrgent(after)) urgent.add(after)
     }
 
-    /** Takes in [record] about any node and spreads it if it is new. */
+    /** Takes in [record] about any node and, if it is new, spreads it further unless [isNews] is false. */
     fun merge(
         record: NodeRecord,
         nowMillis: Long,
+        isNews: Boolean = true,
     ) {
         if (record.node == selfId) return refute(record)
+        if (CompactRecord.of(record).maxBytes > settings.maxRecordBytes) return
         val before = table[record.node]
         if (!table.merge(record, nowMillis)) return
-        updates.add(record)
-        if (isUrgent(record) && (before == null || !isUrgent(before))) urgent.add(record)
+        if (isNews) updates.add(record)
+        if (isNews && isUrgent(record) && (before == null || !isUrgent(before))) urgent.add(record)
         if (record.failureDomain != domain) return
         if (record.status == NodeStatus.SUSPECT) {
             suspicions.start(record, nowMillis, domainSize)
--- a/membership/src/main/kotlin/dev/baobabhollow/membership/MembershipSettings.kt
+++ b/membership/src/main/kotlin/dev/baobabhollow/membership/MembershipSettings.kt
@@ -22,6 +22,8 @@
     val maxStepMillis: Long = 1_000,
     /** Leaves 200 bytes of a datagram of 1,200 bytes for what the sender adds to a message. */
     val maxMessageBytes: Int = 1_000,
+    /** Longer records are refused, because they would leave no room in a message. */
+    val maxRecordBytes: Int = 500,
     val maxNodes: Int = 20_000,
     val maxDeadNodes: Int = 4_096,
     /** Limits the datagrams that reconciliation sends in one second. */
--- a/membership/src/main/kotlin/dev/baobabhollow/membership/Reconciler.kt
+++ b/membership/src/main/kotlin/dev/baobabhollow/membership/Reconciler.kt
@@ -16,12 +16,17 @@
     private val settings = fleet.settings
     private var seeds: List<Endpoint> = emptyList()
     private var catchUpsLeft = 0
+    private var agreements = 0
+
+    /** Tells whether this node is still filling its table. What it learns meanwhile is news to nobody else. */
+    val isCatchingUp: Boolean get() = catchUpsLeft > 0
     private var nextAtMillis = fleet.random.nextLong(settings.digestPeriodMillis)
     private var messagesLeft = settings.maxReconciliationMessages
 
     fun join(seeds: List<Endpoint>): List<OutgoingMessage> {
         this.seeds = seeds.filter { it != fleet.self.controlEndpoint }
         catchUpsLeft = MAX_CATCH_UPS
+        agreements = 0
         return fleet.pick(this.seeds, SEEDS_AT_ONCE).map(::digestFor)
     }
 
@@ -51,7 +56,8 @@
     }
 
     fun receive(buckets: Buckets): List<OutgoingMessage> {
-        if (buckets.buckets.isEmpty()) catchUpsLeft = 0
+        if (buckets.buckets.isEmpty()) agreements++
+        if (agreements >= NEEDED_AGREEMENTS) catchUpsLeft = 0
         return buckets.buckets.flatMap { (domain, hashes) -> offerRecords(buckets.sender.endpoint, domain, hashes) }
     }
 
@@ -149,6 +155,9 @@
 
     private companion object {
         const val MAX_CATCH_UPS = 30
+
+        /** Two nodes that both have just joined may agree on a list that is not complete. */
+        const val NEEDED_AGREEMENTS = 3
         const val SEEDS_AT_ONCE = 3
         const val DOMAINS_AT_ONCE = 2
         const val BUCKETS_PER_MESSAGE = 8
--- a/membership/src/main/kotlin/dev/baobabhollow/membership/SwimMembership.kt
+++ b/membership/src/main/kotlin/dev/baobabhollow/membership/SwimMembership.kt
@@ -77,7 +77,7 @@
         nowMillis: Long,
     ) {
         if (isReconciled && record.status == NodeStatus.DEAD && fleet.table[record.node] == null) return
-        fleet.merge(record, nowMillis)
+        fleet.merge(record, nowMillis, isNews = !isReconciled || !reconciler.isCatchingUp)
     }
 
     /** Tells a live node that it is held for dead, unless the message is answered anyway. */
--- a/membership/src/main/kotlin/dev/baobabhollow/membership/UpdateQueue.kt
+++ b/membership/src/main/kotlin/dev/baobabhollow/membership/UpdateQueue.kt
@@ -2,8 +2,12 @@
 
 import dev.baobabhollow.model.NodeId
 import dev.baobabhollow.model.NodeRecord
+import dev.baobabhollow.model.NodeStatus
 
-/** Holds the records that ride along with messages, each for a limited number of times, the least sent first. */
+/**
+ * Holds the records that ride along with messages, each for a limited number of times. Failures and departures go first,
+ * so that a flood of joining nodes does not delay them, and then the least sent.
+ */
 internal class UpdateQueue(
     private val settings: MembershipSettings,
 ) {
@@ -32,7 +36,7 @@
         if (first != null) CompactRecord.of(first).also { left -= it.maxBytes }.let(taken::add)
         if (items.isEmpty()) return taken
         val limit = settings.retransmissionFactor * binaryLog(nodes + 1)
-        for (item in items.values.sortedBy { it.sent }) {
+        for (item in items.values.sortedWith(ORDER)) {
             if (item.record.node == first?.node) continue
             if (item.record.maxBytes > left) continue
             left -= item.record.maxBytes
@@ -47,5 +51,6 @@
 
     private companion object {
         const val MAX_ITEMS = 4_096
+        val ORDER = compareBy<Item>({ it.record.status == NodeStatus.ALIVE }, { it.sent })
     }
 }
