--- /dev/null
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/Admission.kt
@@ -0,0 +1,236 @@
+package dev.baobabhollow.calls
+
+import dev.baobabhollow.model.CallClass
+import dev.baobabhollow.model.MemberId
+import dev.baobabhollow.model.RouteId
+
+/** Says why a call did not get a slot. The request was not handed to the target. */
+enum class Refusal {
+    /** The queue is full or the call was displaced from it. */
+    OVERLOADED,
+
+    /** The expected wait would pass the deadline. */
+    WAIT_TOO_LONG,
+
+    /** The deadline has passed. */
+    DEADLINE_PASSED,
+
+    /** The target takes no new calls. */
+    DRAINING,
+}
+
+/** Asks for a slot until [deadlineMillis]. */
+data class SlotRequest(
+    val member: MemberId,
+    val route: RouteId,
+    val callClass: CallClass,
+    val deadlineMillis: Long,
+)
+
+/**
+ * Stands for one call at admission. [decided] is called exactly once unless the caller cancels first, with null when the
+ * call holds a slot, on the thread that caused the decision and without any lock held.
+ */
+class Ticket internal constructor(
+    val request: SlotRequest,
+    internal val decided: (Refusal?) -> Unit,
+) {
+    internal var state = TicketState.WAITING
+    internal var grantedMicros = 0L
+}
+
+internal enum class TicketState { WAITING, HOLDING, ENDED }
+
+/**
+ * Admits calls to one target on its owner node: never more than its slots at a time, with a short queue that puts lookups
+ * before uploads and is fair between members and their routes. Safe for use by several threads.
+ */
+class Admission(
+    private val settings: AdmissionSettings,
+    slots: Int,
+) {
+    private val queue = FairQueue()
+    private var slots = slots.coerceAtLeast(1)
+    private var holding = 0
+    private var holdingUploads = 0
+    private var isDraining = false
+    private var serviceMicros = settings.initialServiceMicros.toDouble()
+
+    /** Number of calls that hold a slot. */
+    @get:Synchronized
+    val inUse: Int get() = holding
+
+    /** Number of calls that wait. */
+    @get:Synchronized
+    val waiting: Int get() = queue.size
+
+    /** Number of slots that a new call could take at once. */
+    @get:Synchronized
+    val freeSlots: Int get() = if (isDraining || queue.size > 0) 0 else (slots - holding).coerceAtLeast(0)
+
+    /** Calls that hold a slot or wait, in permille of the slots. */
+    @get:Synchronized
+    val loadPermille: Int get() = (holding + queue.size) * FULL_PERMILLE / slots
+
+    /** Asks for a slot. [decided] gets null or a refusal, before this function returns or later. */
+    fun submit(
+        request: SlotRequest,
+        nowMicros: Long,
+        nowMillis: Long,
+        decided: (Refusal?) -> Unit,
+    ): Ticket {
+        val ticket = Ticket(request, decided)
+        val decisions = Decisions()
+        synchronized(this) {
+            val refusal = refusalOf(request, nowMillis)
+            if (refusal != null) refuse(ticket, refusal, decisions) else enqueue(ticket, nowMillis, decisions)
+            grant(nowMicros, nowMillis, decisions)
+        }
+        decisions.announce()
+        return ticket
+    }
+
+    /**
+     * Ends the call of [ticket], whether it waits or holds a slot; repeated calls have no effect. [isMeasured] tells whether
+     * the time it held its slot is typical for the target.
+     */
+    fun end(
+        ticket: Ticket,
+        nowMicros: Long,
+        nowMillis: Long,
+        isMeasured: Boolean = true,
+    ) {
+        val decisions = Decisions()
+        synchronized(this) {
+            when (ticket.state) {
+                TicketState.WAITING -> queue.remove(ticket)
+                TicketState.HOLDING -> free(ticket, nowMicros, isMeasured)
+                TicketState.ENDED -> return
+            }
+            ticket.state = TicketState.ENDED
+            grant(nowMicros, nowMillis, decisions)
+        }
+        decisions.announce()
+    }
+
+    /** Changes the number of slots. Calls above a lower number finish. */
+    fun resize(
+        slots: Int,
+        nowMicros: Long,
+        nowMillis: Long,
+    ) {
+        val decisions = Decisions()
+        synchronized(this) {
+            this.slots = slots.coerceAtLeast(1)
+            grant(nowMicros, nowMillis, decisions)
+        }
+        decisions.announce()
+    }
+
+    /** Refuses waiting and new calls from now on. */
+    fun drain() {
+        val decisions = Decisions()
+        synchronized(this) {
+            isDraining = true
+            while (true) refuse(queue.poll(uploadsAllowed = true) ?: break, Refusal.DRAINING, decisions)
+        }
+        decisions.announce()
+    }
+
+    private fun refusalOf(
+        request: SlotRequest,
+        nowMillis: Long,
+    ): Refusal? {
+        if (isDraining) return Refusal.DRAINING
+        if (nowMillis >= request.deadlineMillis) return Refusal.DEADLINE_PASSED
+        if (holding + queue.size < slots) return null
+        val ahead = queue.countAhead(request.callClass) + 1
+        val waitMillis = ahead * serviceMicros / slots / MICROS_PER_MILLI
+        return if (nowMillis + waitMillis > request.deadlineMillis) Refusal.WAIT_TOO_LONG else null
+    }
+
+    private fun enqueue(
+        ticket: Ticket,
+        nowMillis: Long,
+        decisions: Decisions,
+    ) {
+        queue.add(ticket)
+        val limit = (slots * settings.queuePermille / FULL_PERMILLE).coerceAtLeast(1)
+        val free = (slots - holding).coerceAtLeast(0)
+        if (queue.size <= limit + free) return
+        val expired = queue.removeExpired(nowMillis)
+        expired.forEach { refuse(it, Refusal.DEADLINE_PASSED, decisions) }
+        if (expired.isEmpty()) refuse(queue.displace(), Refusal.OVERLOADED, decisions)
+    }
+
+    private fun grant(
+        nowMicros: Long,
+        nowMillis: Long,
+        decisions: Decisions,
+    ) {
+        val uploadSlots = (slots * settings.uploadSlotsPermille / FULL_PERMILLE).coerceAtLeast(1)
+        while (holding < slots) {
+            val ticket = queue.poll(uploadsAllowed = holdingUploads < uploadSlots) ?: return
+            if (nowMillis >= ticket.request.deadlineMillis) {
+                refuse(ticket, Refusal.DEADLINE_PASSED, decisions)
+                continue
+            }
+            holding++
+            if (ticket.request.callClass == CallClass.UPLOAD) holdingUploads++
+            ticket.state = TicketState.HOLDING
+            ticket.grantedMicros = nowMicros
+            decisions.add(ticket, null)
+        }
+    }
+
+    private fun free(
+        ticket: Ticket,
+        nowMicros: Long,
+        isMeasured: Boolean,
+    ) {
+        holding--
+        if (ticket.request.callClass == CallClass.UPLOAD) holdingUploads--
+        val held = (nowMicros - ticket.grantedMicros).coerceAtLeast(0)
+        if (isMeasured) serviceMicros += (held - serviceMicros) * SERVICE_TIME_WEIGHT
+    }
+
+    private fun refuse(
+        ticket: Ticket,
+        refusal: Refusal,
+        decisions: Decisions,
+    ) {
+        ticket.state = TicketState.ENDED
+        decisions.add(ticket, refusal)
+    }
+
+    private companion object {
+        const val FULL_PERMILLE = 1_000
+        const val MICROS_PER_MILLI = 1_000.0
+        const val SERVICE_TIME_WEIGHT = 0.05
+    }
+}
+
+/** Collects decisions under the lock of [Admission] to announce them without it. */
+private class Decisions {
+    private var tickets: ArrayList<Pair<Ticket, Refusal?>>? = null
+    private var single: Ticket? = null
+    private var singleRefusal: Refusal? = null
+
+    fun add(
+        ticket: Ticket,
+        refusal: Refusal?,
+    ) {
+        if (single == null) {
+            single = ticket
+            singleRefusal = refusal
+            return
+        }
+        val list = tickets ?: ArrayList<Pair<Ticket, Refusal?>>().also { tickets = it }
+        list += ticket to refusal
+    }
+
+    fun announce() {
+        single?.decided?.invoke(singleRefusal)
+        tickets?.forEach { (ticket, refusal) -> ticket.decided(refusal) }
+    }
+}
--- /dev/null
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/CallSettings.kt
@@ -0,0 +1,47 @@
+package dev.baobabhollow.calls
+
+/** Configures how an entry node chooses targets. */
+data class PickerSettings(
+    /** Load of the better of two local targets, in permille of its slots, above which calls start to spill. */
+    val spillStartPermille: Int = 700,
+    /** Load in permille of the slots at which all calls spill. */
+    val spillFullPermille: Int = 1_000,
+    /** Time over which the weight of a target that is new to this node rises to its full value. */
+    val slowStartMillis: Long = 10_000,
+    /** Weight of a target at the start of its slow start, in permille. */
+    val slowStartPermille: Int = 100,
+    /** Time in which an observed latency or reported load loses half of its weight. */
+    val observationHalfLifeMillis: Long = 2_000,
+)
+
+/** Configures ejection of targets whose calls fail. */
+data class OutlierSettings(
+    val consecutiveFailures: Int = 5,
+    val windowMillis: Long = 10_000,
+    val windowMinCalls: Int = 20,
+    val windowErrorPermille: Int = 500,
+    val baseEjectionMillis: Long = 2_000,
+    val maxEjectionMillis: Long = 120_000,
+    /** Time after which a probe call without a result no longer blocks the next one. */
+    val probeMillis: Long = 5_000,
+)
+
+/** Configures retries of one service. */
+data class RetryBudgetSettings(
+    /** Retries for each thousand calls. */
+    val ratioPermille: Int = 100,
+    /** Retries that are always possible in a second, so that services with few calls can retry at all. */
+    val minimumPerSecond: Int = 2,
+    /** Most retries that can be saved up. */
+    val maxSavedRetries: Int = 50,
+)
+
+/** Configures admission at the owner of a target. */
+data class AdmissionSettings(
+    /** Length of the queue in permille of the slots. */
+    val queuePermille: Int = 2_000,
+    /** Most slots that uploads may hold together, in permille; at least one. */
+    val uploadSlotsPermille: Int = 500,
+    /** Service time assumed before the first call has finished. */
+    val initialServiceMicros: Long = 5_000,
+)
--- /dev/null
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/PrefixMatcher.kt
@@ -0,0 +1,27 @@
+package dev.baobabhollow.calls
+
+/**
+ * Finds the longest of many prefixes of a text by binary search. Of the prefixes in order, the last one that is not above
+ * the text is the only candidate or extends all others, so following [parents] from it finds the longest match.
+ */
+internal class PrefixMatcher<T : Any>(
+    entries: Map<String, T>,
+) {
+    private val prefixes = entries.keys.sorted()
+    private val values = prefixes.map { entries.getValue(it) }
+    private val parents = IntArray(prefixes.size) { parentOf(it) }
+
+    /** Returns the value of the longest prefix of [text], or null. */
+    fun match(text: String): T? {
+        val found = prefixes.binarySearch(text)
+        var index = if (found >= 0) found else -found - 2
+        while (index >= 0) {
+            if (text.startsWith(prefixes[index])) return values[index]
+            index = parents[index]
+        }
+        return null
+    }
+
+    private fun parentOf(index: Int): Int =
+        (index - 1 downTo 0).firstOrNull { prefixes[index].startsWith(prefixes[it]) } ?: -1
+}
--- /dev/null
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/TargetStats.kt
@@ -0,0 +1,95 @@
+package dev.baobabhollow.calls
+
+import dev.baobabhollow.model.NodeId
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.math.exp
+import kotlin.math.ln
+
+/**
+ * Holds what one entry node has observed of one incarnation of a target. Written by several event loops; a lost update of
+ * an average costs one observation.
+ */
+internal class TargetStats(
+    val incarnation: Long,
+    val firstSeenMillis: Long,
+) {
+    val inFlight = AtomicInteger()
+
+    @Volatile
+    private var latencyMicros = 0.0
+
+    @Volatile
+    private var loadPermille = 0.0
+
+    @Volatile
+    private var observedMillis = firstSeenMillis
+
+    fun observe(
+        micros: Long,
+        reportedLoadPermille: Int?,
+        nowMillis: Long,
+        settings: PickerSettings,
+    ) {
+        val old = retained(nowMillis, settings) * OLD_WEIGHT
+        latencyMicros = (latencyMicros * old + micros * NEW_WEIGHT) / (old + NEW_WEIGHT)
+        if (reportedLoadPermille != null) loadPermille = reportedLoadPermille.toDouble()
+        observedMillis = nowMillis
+    }
+
+    fun latencyMicros(
+        nowMillis: Long,
+        settings: PickerSettings,
+    ): Double = latencyMicros * retained(nowMillis, settings)
+
+    /** Returns the load that the owner reported last, losing weight with time, or the own calls in flight if higher. */
+    fun loadPermille(
+        slots: Int,
+        nowMillis: Long,
+        settings: PickerSettings,
+    ): Double {
+        val own = inFlight.get() * FULL_PERMILLE / slots.coerceAtLeast(1)
+        return maxOf(own, loadPermille * retained(nowMillis, settings))
+    }
+
+    private fun retained(
+        nowMillis: Long,
+        settings: PickerSettings,
+    ): Double {
+        val age = (nowMillis - observedMillis).coerceAtLeast(0)
+        return if (age == 0L) 1.0 else exp(-LN_2 * age / settings.observationHalfLifeMillis)
+    }
+
+    private companion object {
+        const val OLD_WEIGHT = 0.9
+        const val NEW_WEIGHT = 0.1
+        const val FULL_PERMILLE = 1_000.0
+        val LN_2 = ln(2.0)
+    }
+}
+
+/** Keeps the statistics of all targets; a new incarnation starts anew. */
+internal class TargetStatsMap {
+    private val stats = ConcurrentHashMap<NodeId, TargetStats>()
+
+    fun of(
+        target: TargetEndpoint,
+        nowMillis: Long,
+    ): TargetStats {
+        val known = stats[target.node]
+        if (known != null && known.incarnation >= target.incarnation) return known
+        return stats.compute(target.node) { _, old ->
+            if (old != null &&
+                old.incarnation >= target.incarnation
+            ) {
+                old
+            } else {
+                TargetStats(target.incarnation, nowMillis)
+            }
+        }!!
+    }
+
+    fun retain(nodes: Set<NodeId>) {
+        stats.keys.retainAll(nodes)
+    }
+}
