--- a/calls/src/main/kotlin/dev/baobabhollow/calls/Admission.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/Admission.kt
@@ -137,6 +137,12 @@
         decisions.announce()
     }
 
+    /** Takes calls again after [drain]. */
+    @Synchronized
+    fun resume() {
+        isDraining = false
+    }
+
     private fun refusalOf(
         request: SlotRequest,
         nowMillis: Long,
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
@@ -35,6 +35,9 @@
 ) {
     private val matcher = PrefixMatcher(routes.values.associateBy { it.config.pathPrefix })
 
+    /** Nodes whose targets the table holds. */
+    val nodes: Set<NodeId> get() = targets.keys
+
     /** Returns the route with the longest prefix of [path], or null. */
     fun match(path: String): Route? = matcher.match(path)
 
--- /dev/null
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/Answers.kt
@@ -0,0 +1,41 @@
+package dev.baobabhollow.proxy
+
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.DefaultLastHttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+
+internal fun continueAnswer() = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE)
+
+internal fun failureBody(failure: CallFailure): LastHttpContent =
+    DefaultLastHttpContent(Unpooled.copiedBuffer("${failure.reason.text}\n", Charsets.US_ASCII))
+
+internal fun failureHead(
+    failure: CallFailure,
+    bodyBytes: Int,
+): HttpResponse {
+    val head = DefaultHttpResponse(HttpVersion.HTTP_1_1, failure.status)
+    head
+        .headers()
+        .set(HttpHeaderNames.CONTENT_TYPE, "text/plain")
+        .set(HttpHeaderNames.CONTENT_LENGTH, bodyBytes)
+        .set(MeshHeaders.OUTCOME, failure.outcome.text)
+        .set(MeshHeaders.REASON, failure.reason.text)
+    return head
+}
+
+internal fun storedHead(answer: StoredAnswer): HttpResponse {
+    val head = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status))
+    answer.headers.forEach { (name, value) -> head.headers().add(name, value) }
+    head.headers().remove(HttpHeaderNames.TRANSFER_ENCODING)
+    head.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.body.size)
+    return head
+}
+
+internal fun storedBody(answer: StoredAnswer): LastHttpContent =
+    DefaultLastHttpContent(Unpooled.wrappedBuffer(answer.body))
--- /dev/null
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallFailure.kt
@@ -0,0 +1,87 @@
+package dev.baobabhollow.proxy
+
+import dev.baobabhollow.calls.CallHealth
+import dev.baobabhollow.calls.Refusal
+import io.netty.handler.codec.http.HttpResponseStatus
+
+/** Says whether a failed call can have been run by a target. */
+enum class CallOutcome(
+    /** Value of the outcome header. */
+    val text: String,
+) {
+    /** The request was not handed to a target. */
+    NOT_RUN("not-run"),
+
+    /** A target may have run the request. */
+    UNKNOWN("unknown"),
+}
+
+/** Names the causes of errors that nodes generate, with what they tell an entry node about the target. */
+enum class FailureReason(
+    /** Value of the reason header. */
+    val text: String,
+    internal val health: CallHealth = CallHealth.NEUTRAL,
+) {
+    BAD_REQUEST("bad-request"),
+    HEADERS_TOO_LARGE("headers-too-large"),
+    BODY_TOO_LARGE("body-too-large"),
+    UNSUPPORTED_VERSION("unsupported-version"),
+    TOO_MANY_HOPS("too-many-hops"),
+    NOT_READY("not-ready"),
+    NO_ROUTE("no-route"),
+    NO_TARGET("no-target"),
+    DRAINING("draining", CallHealth.NO_CONNECTION),
+    OVERLOADED("overloaded"),
+    WAIT_TOO_LONG("wait-too-long"),
+    DEADLINE_PASSED("deadline-passed"),
+    WRONG_TARGET("wrong-target"),
+    OWNER_UNREACHABLE("owner-unreachable", CallHealth.NO_CONNECTION),
+    TARGET_UNREACHABLE("target-unreachable", CallHealth.NO_CONNECTION),
+    TOO_MANY_CONNECTIONS("too-many-connections"),
+    CONNECTION_CLOSED("connection-closed", CallHealth.FAILURE),
+    MALFORMED_ANSWER("malformed-answer", CallHealth.FAILURE),
+    CANCELLED("cancelled"),
+    KEY_USED("key-used"),
+    KEY_EXPIRED("key-expired"),
+    KEY_OWNER_GONE("key-owner-gone"),
+    CLAIMS_UNAVAILABLE("claims-unavailable"),
+    INTERNAL_ERROR("internal-error", CallHealth.FAILURE),
+    ;
+
+    internal companion object {
+        private val BY_TEXT = entries.associateBy { it.text }
+
+        fun of(text: String?): FailureReason = BY_TEXT[text] ?: INTERNAL_ERROR
+    }
+}
+
+/** Describes an error that a node generates instead of an answer. */
+internal data class CallFailure(
+    val status: HttpResponseStatus,
+    val outcome: CallOutcome,
+    val reason: FailureReason,
+) {
+    companion object {
+        fun notRun(
+            reason: FailureReason,
+            status: HttpResponseStatus = HttpResponseStatus.SERVICE_UNAVAILABLE,
+        ) = CallFailure(status, CallOutcome.NOT_RUN, reason)
+
+        fun unknown(reason: FailureReason) = CallFailure(HttpResponseStatus.BAD_GATEWAY, CallOutcome.UNKNOWN, reason)
+
+        fun deadlinePassed(mayHaveRun: Boolean) =
+            CallFailure(
+                HttpResponseStatus.GATEWAY_TIMEOUT,
+                if (mayHaveRun) CallOutcome.UNKNOWN else CallOutcome.NOT_RUN,
+                FailureReason.DEADLINE_PASSED,
+            )
+
+        fun of(refusal: Refusal) =
+            when (refusal) {
+                Refusal.OVERLOADED -> notRun(FailureReason.OVERLOADED)
+                Refusal.WAIT_TOO_LONG -> notRun(FailureReason.WAIT_TOO_LONG)
+                Refusal.DEADLINE_PASSED -> deadlinePassed(mayHaveRun = false)
+                Refusal.DRAINING -> notRun(FailureReason.DRAINING)
+            }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/Codecs.kt
@@ -0,0 +1,43 @@
+package dev.baobabhollow.proxy
+
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequestDecoder
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.HttpResponseEncoder
+
+/** Rejects messages with two lengths: nodes and targets could disagree where such a message ends. */
+private fun rejectTwoLengths(): Nothing = throw IllegalArgumentException("both content-length and transfer-encoding")
+
+internal class StrictRequestDecoder(
+    settings: ProxySettings,
+) : HttpRequestDecoder(decoderConfig(settings)) {
+    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) = rejectTwoLengths()
+}
+
+/** Decodes answers; [method] is that of the request on the connection, because answers to HEAD have no body. */
+internal class StrictResponseDecoder(
+    settings: ProxySettings,
+) : HttpResponseDecoder(decoderConfig(settings)) {
+    var method: HttpMethod = HttpMethod.GET
+
+    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) = rejectTwoLengths()
+
+    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
+        method == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
+}
+
+/** Encodes answers; [method] is that of the request on the connection. */
+internal class CallerResponseEncoder : HttpResponseEncoder() {
+    var method: HttpMethod = HttpMethod.GET
+
+    override fun isContentAlwaysEmpty(message: HttpResponse): Boolean =
+        method == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
+}
+
+private fun decoderConfig(settings: ProxySettings): HttpDecoderConfig =
+    HttpDecoderConfig()
+        .setMaxInitialLineLength(settings.maxInitialLineBytes)
+        .setMaxHeaderSize(settings.maxHeaderBytes)
--- /dev/null
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ConnectionPool.kt
@@ -0,0 +1,148 @@
+package dev.baobabhollow.proxy
+
+import dev.baobabhollow.model.Endpoint
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpRequestEncoder
+import java.net.InetSocketAddress
+import java.util.concurrent.ConcurrentLinkedDeque
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Limits the connections of all event loops to one endpoint together. */
+internal class ConnectionLimit(
+    @Volatile var max: Int,
+) {
+    private val open = AtomicInteger()
+
+    /** Pools that share the limit; a pool at the limit closes an idle connection of another one. */
+    val pools = ConcurrentLinkedDeque<ConnectionPool>()
+
+    fun tryOpen(): Boolean {
+        if (open.incrementAndGet() <= max) return true
+        open.decrementAndGet()
+        return false
+    }
+
+    fun closed() {
+        open.decrementAndGet()
+    }
+
+    val isUnused: Boolean get() = open.get() == 0
+}
+
+/** Pools the connections of one event loop to one endpoint. Used on that event loop only, but for [closeOneIdle]. */
+internal class ConnectionPool(
+    private val loop: EventLoop,
+    private val endpoint: Endpoint,
+    private val settings: ProxySettings,
+    private val limit: ConnectionLimit,
+    private val nowMillis: () -> Long,
+) {
+    private val idle = ConcurrentLinkedDeque<UpstreamConnection>()
+    private val address = InetSocketAddress(endpoint.host, endpoint.port)
+    private val bootstrap =
+        Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeoutMillis)
+            .handler(
+                object : ChannelInitializer<Channel>() {
+                    override fun initChannel(channel: Channel) = prepare(channel)
+                },
+            )
+
+    init {
+        limit.pools.add(this)
+    }
+
+    /** Calls [ready] with a connection, or with null and a reason other than a failed connect. */
+    fun acquire(ready: (UpstreamConnection?, FailureReason?) -> Unit) = acquire(LIMIT_RETRIES, ready)
+
+    private fun acquire(
+        retries: Int,
+        ready: (UpstreamConnection?, FailureReason?) -> Unit,
+    ) {
+        while (true) {
+            val connection = idle.pollFirst() ?: break
+            if (connection.channel.isActive) return ready(connection, null)
+        }
+        if (limit.tryOpen()) return connect(ready)
+        if (retries == 0) return ready(null, FailureReason.TOO_MANY_CONNECTIONS)
+        limit.pools.any { it !== this && it.closeOneIdle() }
+        loop.schedule({ acquire(retries - 1, ready) }, 1, TimeUnit.MILLISECONDS)
+    }
+
+    private fun connect(ready: (UpstreamConnection?, FailureReason?) -> Unit) {
+        bootstrap.connect(address).addListener { future ->
+            val channel = (future as ChannelFuture).channel()
+            if (!future.isSuccess) {
+                limit.closed()
+                ready(null, null)
+                return@addListener
+            }
+            channel.closeFuture().addListener { limit.closed() }
+            ready(channel.pipeline().get(UpstreamConnection::class.java), null)
+        }
+    }
+
+    private fun prepare(channel: Channel) {
+        val decoder = StrictResponseDecoder(settings)
+        channel.pipeline().addLast(HttpRequestEncoder(), decoder, UpstreamConnection(channel, decoder, ::release))
+    }
+
+    /** Takes back a connection without an exchange. */
+    fun release(connection: UpstreamConnection) {
+        connection.idleSinceMillis = nowMillis()
+        idle.addFirst(connection)
+    }
+
+    /** Closes connections that were idle for too long and forgets closed ones. */
+    fun sweep() {
+        val oldest = nowMillis() - settings.upstreamIdleMillis
+        idle.removeIf { connection ->
+            val isOver = !connection.channel.isActive || connection.idleSinceMillis < oldest
+            if (isOver) connection.channel.close()
+            isOver
+        }
+    }
+
+    /** True without any connection, in use or idle. */
+    val isUnused: Boolean get() = limit.isUnused
+
+    private fun closeOneIdle(): Boolean {
+        val connection = idle.pollLast() ?: return false
+        connection.channel.close()
+        return true
+    }
+
+    private companion object {
+        /** Tries for a connection at its limit, one a millisecond. */
+        const val LIMIT_RETRIES = 50
+    }
+}
+
+/** Keeps the pools of one event loop to owner nodes. */
+internal class OwnerPools(
+    private val loop: EventLoop,
+    private val settings: ProxySettings,
+    private val nowMillis: () -> Long,
+) {
+    private val pools = HashMap<Endpoint, ConnectionPool>()
+
+    fun of(endpoint: Endpoint): ConnectionPool =
+        pools.getOrPut(endpoint) {
+            ConnectionPool(loop, endpoint, settings, ConnectionLimit(settings.connectionsPerOwnerAndLoop), nowMillis)
+        }
+
+    fun sweep() {
+        pools.values.forEach { it.sweep() }
+        pools.values.removeIf { it.isUnused }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
@@ -0,0 +1,219 @@
+package dev.baobabhollow.proxy
+
+import dev.baobabhollow.calls.CallHealth
+import dev.baobabhollow.calls.ReleaseTargets
+import dev.baobabhollow.calls.Route
+import dev.baobabhollow.calls.TargetEndpoint
+import dev.baobabhollow.model.NodeId
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import java.util.concurrent.ThreadLocalRandom
+import kotlin.random.asKotlinRandom
+
+/** Forwards a call to the owner of a target and, where the rules allow it, sends it again to another one. */
+internal class EntryExchange(
+    node: NodeCore,
+    front: FrontHandler,
+    deadlineMillis: Long,
+    private val head: HttpRequest,
+    private val route: Route,
+    private val targets: ReleaseTargets,
+    private val fixedTarget: TargetEndpoint?,
+) : RelayExchange(node, front, deadlineMillis) {
+    private val replay = PendingBody()
+    private val mayRetry = fixedTarget == null && !head.headers().contains(MeshHeaders.RETRY)
+    private val startMicros = node.nowMicros()
+    private var attemptMicros = startMicros
+    private var isBodyLost = false
+    private var attempts = 0
+    private var tried: MutableSet<NodeId> = mutableSetOf()
+    private var target: TargetEndpoint? = null
+    private var answerStatus = HttpResponseStatus.OK
+    private var loadPermille: Int? = null
+
+    override val leg = "entry"
+
+    fun start() {
+        startTimer()
+        node.budgets.of(route.service.id).onCall()
+        val first = fixedTarget ?: pick()
+        if (first == null) fail(CallFailure.notRun(FailureReason.NO_TARGET)) else send(first)
+    }
+
+    private fun pick(): TargetEndpoint? =
+        node.picker.pick(targets, tried, node.nowMillis(), ThreadLocalRandom.current().asKotlinRandom())
+
+    private fun send(chosen: TargetEndpoint) {
+        attempts++
+        tried.add(chosen.node)
+        target = chosen
+        loadPermille = null
+        attemptMicros = node.nowMicros()
+        node.picker.started(chosen, node.nowMillis())
+        val callId = node.newCallId()
+        prepareHead(chosen, callId)
+        val next = if (chosen.node == node.self.node) localAttempt(chosen, callId) else remoteAttempt(chosen, callId)
+        attempt = next
+        next.start(head)
+        replay.replay { if (attempt === next) next.body(it) else it.release() }
+        if (attempt === next) next.flush()
+    }
+
+    private fun prepareHead(
+        chosen: TargetEndpoint,
+        callId: String,
+    ) {
+        val headers = head.headers()
+        headers.set(MeshHeaders.RELEASE, chosen.release.value)
+        headers.set(MeshHeaders.CALL, callId)
+        headers.set(MeshHeaders.DEADLINE, deadlineMillis - node.settings.hopMarginMillis)
+        if (attempts > 1) headers.set(MeshHeaders.RETRY, "1")
+    }
+
+    private fun localAttempt(
+        chosen: TargetEndpoint,
+        callId: String,
+    ): Attempt {
+        head.headers().remove(MeshHeaders.ROUTE)
+        val deadline = deadlineMillis - node.settings.hopMarginMillis
+        return TargetCall(node, front.loop, route, chosen.release, callId, deadline, this)
+    }
+
+    private fun remoteAttempt(
+        chosen: TargetEndpoint,
+        callId: String,
+    ): Attempt {
+        head.headers().set(MeshHeaders.ROUTE, route.id.value)
+        val pool = node.pools(front.loop).owners.of(chosen.peerCallEndpoint)
+        return UpstreamCall(pool, callId, FailureReason.OWNER_UNREACHABLE, this)
+    }
+
+    override fun forward(content: HttpContent) {
+        keepForReplay(content)
+        super.forward(content)
+    }
+
+    private fun keepForReplay(content: HttpContent) {
+        if (!mayRetry || isBodyLost || isEnded) return
+        if (replay.bytes + content.content().readableBytes() <= node.settings.replayBytes) {
+            replay.add(content.retainedDuplicate())
+            return
+        }
+        isBodyLost = true
+        replay.clear()
+    }
+
+    override fun onAnswerHead(head: HttpResponse) {
+        val headers = head.headers()
+        val outcome = headers.get(MeshHeaders.OUTCOME)
+        loadPermille = headers.getInt(MeshHeaders.LOAD)
+        headers.remove(MeshHeaders.LOAD)
+        headers.remove(MeshHeaders.CALL)
+        if (outcome != null) return onGeneratedError(head, outcome)
+        val isRefused = head.status() == HttpResponseStatus.SERVICE_UNAVAILABLE
+        if (isRefused && route.config.idempotent) {
+            val next = nextTarget()
+            if (next != null) return retry(next, CallHealth.NEUTRAL)
+        }
+        answerStatus = head.status()
+        headers.removeHopByHop()
+        super.onAnswerHead(head)
+    }
+
+    private fun onGeneratedError(
+        head: HttpResponse,
+        outcome: String,
+    ) {
+        val reason = FailureReason.of(head.headers().get(MeshHeaders.REASON))
+        val isNotRun = outcome == CallOutcome.NOT_RUN.text
+        val failure = CallFailure(head.status(), if (isNotRun) CallOutcome.NOT_RUN else CallOutcome.UNKNOWN, reason)
+        onAttemptFailure(failure)
+    }
+
+    override fun onFailure(failure: CallFailure) = onAttemptFailure(failure)
+
+    private fun onAttemptFailure(failure: CallFailure) {
+        val next = if (isRepeatable(failure)) nextTarget() else null
+        if (next != null) return retry(next, failure.reason.health)
+        attempt?.abandon()
+        attempt = null
+        fail(failure)
+    }
+
+    private fun isRepeatable(failure: CallFailure): Boolean {
+        val isServerSide = failure.status.code() == BAD_GATEWAY || failure.status.code() == UNAVAILABLE
+        return isServerSide && (failure.outcome == CallOutcome.NOT_RUN || route.config.idempotent)
+    }
+
+    /** Returns another target if the call may be sent again, and takes the retry from the budget. */
+    private fun nextTarget(): TargetEndpoint? {
+        val now = node.nowMillis()
+        if (isEnded || !mayRetry || isBodyLost || attempts >= node.settings.maxAttempts ||
+            now >= deadlineMillis
+        ) {
+            return null
+        }
+        val next = pick() ?: return null
+        return next.takeIf { node.budgets.of(route.service.id).tryRetry(now) }
+    }
+
+    private fun retry(
+        next: TargetEndpoint,
+        health: CallHealth,
+    ) {
+        node.metrics.countRetry()
+        attempt?.abandon()
+        finishAttempt(health, isMeasured = false)
+        send(next)
+    }
+
+    private fun finishAttempt(
+        health: CallHealth,
+        isMeasured: Boolean,
+    ) {
+        val used = target ?: return
+        target = null
+        val now = node.nowMillis()
+        val micros = if (isMeasured) node.nowMicros() - attemptMicros else null
+        node.picker.finished(used, micros, loadPermille, now)
+        node.outliers.record(used, health, route.service.targets, now)
+    }
+
+    override fun release() = replay.clear()
+
+    override fun onEnd(
+        status: Int?,
+        failure: CallFailure?,
+    ) {
+        val code = status ?: answerStatus.code()
+        val isCancelled = failure?.reason == FailureReason.CANCELLED
+        val isTimeout = failure?.reason == FailureReason.DEADLINE_PASSED
+        finishAttempt(healthOf(code, failure), isMeasured = failure == null || isTimeout)
+        if (isCancelled) return
+        val micros = node.nowMicros() - startMicros
+        node.recorder.recordCall(route, isError = code >= SERVER_ERRORS, micros)
+        node.metrics.countCall(route.id.value, code, micros)
+    }
+
+    private fun healthOf(
+        code: Int,
+        failure: CallFailure?,
+    ): CallHealth {
+        val isTimeout = failure?.reason == FailureReason.DEADLINE_PASSED && failure.outcome == CallOutcome.UNKNOWN
+        return when {
+            isTimeout -> CallHealth.FAILURE
+            failure != null -> failure.reason.health
+            code == UNAVAILABLE -> CallHealth.NEUTRAL
+            code >= SERVER_ERRORS -> CallHealth.FAILURE
+            else -> CallHealth.SUCCESS
+        }
+    }
+
+    private companion object {
+        const val BAD_GATEWAY = 502
+        const val UNAVAILABLE = 503
+        const val SERVER_ERRORS = 500
+    }
+}
--- /dev/null
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
@@ -0,0 +1,97 @@
+package dev.baobabhollow.proxy
+
+import dev.baobabhollow.calls.ReleaseTargets
+import dev.baobabhollow.calls.Route
+import dev.baobabhollow.calls.RoutingTable
+import dev.baobabhollow.calls.TargetEndpoint
+import dev.baobabhollow.model.FULL_SHARE_PERMILLE
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.QueryStringDecoder
+import java.util.concurrent.ThreadLocalRandom
+
+/** Opens exchanges of the callers' port. */
+internal class EntryPort(
+    private val node: NodeCore,
+) {
+    fun open(
+        front: FrontHandler,
+        head: HttpRequest,
+    ): Exchange {
+        val malformed = requestError(head)
+        if (malformed != null) return refused(front) { front.refuseMalformed(malformed) }
+        val path = routedPath(head) ?: return refused(front) { front.refuseMalformed(badRequest()) }
+        val table = node.tables()
+        if (node.isDraining) return refused(front, CallFailure.notRun(FailureReason.DRAINING))
+        if (!table.isReady) return refused(front, CallFailure.notRun(FailureReason.NOT_READY))
+        val route =
+            table.match(path)
+                ?: return refused(front, CallFailure.notRun(FailureReason.NO_ROUTE, HttpResponseStatus.NOT_FOUND))
+        return forward(front, head, table, route)
+    }
+
+    /** Returns the path that decides the route; a request for a key names it in its query. */
+    private fun routedPath(head: HttpRequest): String? {
+        if (!isKeyRequest(head)) return routingPath(head.uri())
+        val query = runCatching { QueryStringDecoder(head.uri()).parameters()["path"] }.getOrNull()
+        return query?.firstOrNull()?.let(::routingPath)
+    }
+
+    private fun forward(
+        front: FrontHandler,
+        head: HttpRequest,
+        table: RoutingTable,
+        route: Route,
+    ): Exchange {
+        val now = node.nowMillis()
+        val headers = head.headers()
+        val clamp = now + route.config.timeoutMillis
+        val deadline = (headers.get(MeshHeaders.DEADLINE)?.toLongOrNull() ?: clamp).coerceAtMost(clamp)
+        if (now >= deadline) return refused(front, CallFailure.deadlinePassed(mayHaveRun = false))
+        if (HttpUtil.getContentLength(head, 0L) > node.settings.maxRequestBodyBytes) {
+            val status = HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE
+            return refused(front, CallFailure.notRun(FailureReason.BODY_TOO_LARGE, status))
+        }
+        val hop = (headers.getInt(MeshHeaders.HOP) ?: 0) + 1
+        if (hop > node.settings.maxHops) {
+            return refused(front, CallFailure.notRun(FailureReason.TOO_MANY_HOPS, HttpResponseStatus.BAD_REQUEST))
+        }
+        val issuer = if (route.config.idempotent) null else headers.get(MeshHeaders.KEY)?.let(node.claims::issuerOf)
+        val keyOwner = issuer?.let { table.target(it.node) }
+        if (issuer != null && (keyOwner == null || keyOwner.incarnation != issuer.incarnation)) {
+            return refused(front, CallFailure.unknown(FailureReason.KEY_OWNER_GONE))
+        }
+        front.sendContinue(head)
+        headers.removeHopByHop()
+        headers.remove(HttpHeaderNames.EXPECT)
+        headers.remove(MeshHeaders.OUTCOME)
+        headers.set(MeshHeaders.HOP, hop)
+        return start(front, deadline, head, route, keyOwner)
+    }
+
+    private fun start(
+        front: FrontHandler,
+        deadlineMillis: Long,
+        head: HttpRequest,
+        route: Route,
+        keyOwner: TargetEndpoint?,
+    ): Exchange {
+        val targets = targetsOf(route)
+        val exchange = EntryExchange(node, front, deadlineMillis, head, route, targets, keyOwner)
+        exchange.start()
+        return exchange
+    }
+
+    private fun targetsOf(route: Route): ReleaseTargets =
+        route.service.release(ThreadLocalRandom.current().nextInt(FULL_SHARE_PERMILLE))
+
+    private fun refused(
+        front: FrontHandler,
+        failure: CallFailure,
+    ): Exchange {
+        node.metrics.countFailure("entry", failure)
+        return refused(front) { front.answerFailure(failure) }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
@@ -0,0 +1,133 @@
+package dev.baobabhollow.proxy
+
+import dev.baobabhollow.calls.Admission
+import dev.baobabhollow.calls.Outliers
+import dev.baobabhollow.calls.RetryBudgets
+import dev.baobabhollow.calls.RoutingTable
+import dev.baobabhollow.calls.TargetPicker
+import dev.baobabhollow.model.Endpoint
+import dev.baobabhollow.model.NodeRecord
+import dev.baobabhollow.model.TargetStatus
+import io.netty.channel.EventLoop
+import org.apache.logging.log4j.LogManager
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ThreadLocalRandom
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Holds what all exchanges of a node share. */
+internal class NodeCore(
+    val settings: ProxySettings,
+    self: NodeRecord,
+    val tables: () -> RoutingTable,
+    private val targetEndpoint: Endpoint?,
+    val nowMillis: () -> Long,
+    val recorder: OutcomeRecorder,
+    val claims: KeyClaims,
+    val metrics: ProxyMetrics,
+) {
+    @Volatile
+    var self: NodeRecord = self
+        private set
+
+    @Volatile
+    var isDraining = false
+        private set
+
+    val admission = Admission(settings.admission, self.target?.slots ?: 1)
+    val outliers = Outliers(settings.outliers)
+    val budgets = RetryBudgets(settings.retries)
+    val picker =
+        TargetPicker(settings.picker, self.node, outliers) {
+            if (targetEndpoint ==
+                null
+            ) {
+                0
+            } else {
+                admission.freeSlots
+            }
+        }
+    private val targetLimit = ConnectionLimit(self.target?.connections ?: 1)
+    private val loops = ConcurrentHashMap<EventLoop, LoopPools>()
+    private val exchanges = AtomicInteger()
+    private val idleLock = Object()
+
+    /** Number of calls in flight on both ports. */
+    val inFlight: Int get() = exchanges.get()
+
+    val hasTarget: Boolean get() = targetEndpoint != null && self.target != null
+
+    fun pools(loop: EventLoop): LoopPools = loops[loop] ?: loops.computeIfAbsent(loop) { newPools(it) }
+
+    private fun newPools(loop: EventLoop): LoopPools {
+        val target = targetEndpoint?.let { ConnectionPool(loop, it, settings, targetLimit, nowMillis) }
+        return LoopPools(OwnerPools(loop, settings, nowMillis), target)
+    }
+
+    fun update(self: NodeRecord) {
+        this.self = self
+        val target = self.target ?: return
+        targetLimit.max = target.connections
+        admission.resize(minOf(target.slots, target.connections), nowMicros(), nowMillis())
+        if (isDraining || target.status != TargetStatus.SERVING) admission.drain() else admission.resume()
+    }
+
+    fun forgetAbsent(table: RoutingTable) {
+        picker.retain(table.nodes)
+        outliers.retain(table.nodes)
+        budgets.retain(table.services.keys)
+    }
+
+    fun drain() {
+        isDraining = true
+        admission.drain()
+    }
+
+    fun exchangeStarted() {
+        exchanges.incrementAndGet()
+    }
+
+    fun exchangeEnded() {
+        if (exchanges.decrementAndGet() > 0 || !isDraining) return
+        synchronized(idleLock) { idleLock.notifyAll() }
+    }
+
+    /** Blocks until no call is in flight or [deadlineMillis] has passed, and returns the number of calls left. */
+    fun awaitIdle(deadlineMillis: Long): Int {
+        synchronized(idleLock) {
+            while (exchanges.get() > 0) {
+                val left = deadlineMillis - nowMillis()
+                if (left <= 0) break
+                idleLock.wait(left.coerceAtMost(MAX_WAIT_MILLIS))
+            }
+        }
+        return exchanges.get()
+    }
+
+    fun nowMicros(): Long = System.nanoTime() / NANOS_PER_MICRO
+
+    fun newCallId(): String = java.lang.Long.toString(ThreadLocalRandom.current().nextLong() ushr 1, ID_RADIX)
+
+    fun logUnexpected(cause: Throwable) {
+        LOG.error("event=proxy_unexpected_error", cause)
+    }
+
+    private companion object {
+        val LOG = LogManager.getLogger(NodeCore::class.java)
+        const val NANOS_PER_MICRO = 1_000L
+        const val ID_RADIX = 36
+
+        /** Bounds a wait so that a clock that steps back does not prolong it. */
+        const val MAX_WAIT_MILLIS = 100L
+    }
+}
+
+/** Holds the connection pools of one event loop. */
+internal class LoopPools(
+    val owners: OwnerPools,
+    val target: ConnectionPool?,
+) {
+    fun sweep() {
+        owners.sweep()
+        target?.sweep()
+    }
+}
--- /dev/null
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/OutcomeRecorder.kt
@@ -0,0 +1,127 @@
+package dev.baobabhollow.proxy
+
+import dev.baobabhollow.calls.Route
+import dev.baobabhollow.model.LatencyHistogram
+import dev.baobabhollow.model.MemberId
+import dev.baobabhollow.model.NodeRecord
+import dev.baobabhollow.model.OutcomeSummary
+import dev.baobabhollow.model.ReleaseId
+import dev.baobabhollow.model.RouteId
+import dev.baobabhollow.model.ServiceId
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.LongAdder
+
+/** Says how a call counts in the evidence on a release. */
+enum class TargetResult {
+    /** The target answered without a server error. */
+    SUCCESS,
+
+    /** The target answered with a server error, wrongly or not at all. */
+    ERROR,
+
+    /** The target refused the call under load. */
+    SHED,
+}
+
+/** Counts calls for summaries of releases and for burn reports. Safe for use by several threads. */
+class OutcomeRecorder {
+    private data class CellKey(
+        val service: ServiceId,
+        val route: RouteId,
+        val release: ReleaseId,
+    )
+
+    private class Cell {
+        var calls = 0L
+        var errors = 0L
+        var shed = 0L
+        val latency = LatencyHistogram()
+    }
+
+    private class Burn {
+        val calls = LongAdder()
+        val errors = LongAdder()
+        val slow = LongAdder()
+    }
+
+    private val cells = ConcurrentHashMap<CellKey, Cell>()
+    private val burns = ConcurrentHashMap<Triple<MemberId, ServiceId, RouteId>, Burn>()
+
+    /** Counts a call that the own target of [release] ended after [micros]. */
+    fun recordTarget(
+        route: Route,
+        release: ReleaseId,
+        result: TargetResult,
+        micros: Long,
+    ) {
+        val cell = cells.computeIfAbsent(CellKey(route.service.id, route.id, release)) { Cell() }
+        synchronized(cell) {
+            cell.calls++
+            if (result == TargetResult.ERROR) cell.errors++
+            if (result == TargetResult.SHED) cell.shed++
+            cell.latency.record(micros)
+        }
+    }
+
+    /** Counts a call as its caller saw it at this entry node. */
+    fun recordCall(
+        route: Route,
+        isError: Boolean,
+        micros: Long,
+    ) {
+        val config = route.service.config
+        val burn = burns.computeIfAbsent(Triple(config.member, route.service.id, route.id)) { Burn() }
+        burn.calls.increment()
+        if (isError) burn.errors.increment()
+        if (micros > config.objective.fastMillis * MICROS_PER_MILLI) burn.slow.increment()
+    }
+
+    /** Returns the counts of the target of [node] since the last call, and starts anew. */
+    fun drainOutcomes(
+        node: NodeRecord,
+        nowMillis: Long,
+    ): List<OutcomeSummary> =
+        cells.mapNotNull { (key, cell) ->
+            synchronized(cell) {
+                if (cell.calls == 0L) return@mapNotNull null
+                val summary =
+                    OutcomeSummary(
+                        node.node,
+                        node.failureDomain,
+                        key.service,
+                        key.route,
+                        key.release,
+                        nowMillis,
+                        cell.calls,
+                        cell.errors,
+                        cell.shed,
+                        cell.latency.encode(),
+                    )
+                cell.calls = 0
+                cell.errors = 0
+                cell.shed = 0
+                cell.latency.reset()
+                summary
+            }
+        }
+
+    /** Returns the counts since the start of the node. */
+    fun burnCounts(): List<BurnCount> =
+        burns.map { (key, burn) ->
+            BurnCount(key.first, key.second, key.third, burn.calls.sum(), burn.errors.sum(), burn.slow.sum())
+        }
+
+    private companion object {
+        const val MICROS_PER_MILLI = 1_000L
+    }
+}
+
+/** Counts calls of a route as callers saw them; [slow] ones took longer than the service's objective allows. */
+data class BurnCount(
+    val member: MemberId,
+    val service: ServiceId,
+    val route: RouteId,
+    val calls: Long,
+    val errors: Long,
+    val slow: Long,
+)
--- /dev/null
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/OwnerExchange.kt
@@ -0,0 +1,77 @@
+package dev.baobabhollow.proxy
+
+import dev.baobabhollow.calls.Route
+import dev.baobabhollow.model.ReleaseId
+import dev.baobabhollow.model.RouteId
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponse
+
+/** Serves a call from an entry node at the owner of the target. */
+internal class OwnerExchange(
+    node: NodeCore,
+    front: FrontHandler,
+    deadlineMillis: Long,
+    private val callId: String,
+) : RelayExchange(node, front, deadlineMillis) {
+    override val leg = "owner"
+
+    fun start(
+        head: HttpRequest,
+        route: Route,
+        release: ReleaseId,
+    ) {
+        val call = TargetCall(node, front.loop, route, release, callId, deadlineMillis, this)
+        attempt = call
+        call.start(head)
+        startTimer()
+    }
+
+    override fun onAnswerHead(head: HttpResponse) {
+        head.headers().set(MeshHeaders.CALL, callId)
+        super.onAnswerHead(head)
+    }
+
+    override fun onEnd(
+        status: Int?,
+        failure: CallFailure?,
+    ) = Unit
+}
+
+/** Opens exchanges of the peer call port. */
+internal class OwnerPort(
+    private val node: NodeCore,
+) {
+    fun open(
+        front: FrontHandler,
+        head: HttpRequest,
+    ): Exchange {
+        val malformed = requestError(head)
+        if (malformed != null) return refused(front) { front.refuseMalformed(malformed) }
+        if (node.isDraining) return refused(front, CallFailure.notRun(FailureReason.DRAINING))
+        val headers = head.headers()
+        val route = headers.get(MeshHeaders.ROUTE)?.let { node.tables().routes[RouteId(it)] }
+        val release = headers.get(MeshHeaders.RELEASE)?.let(::ReleaseId)
+        val target = node.self.target
+        if (route == null || target == null || !node.hasTarget) return refused(front, wrongTarget())
+        if (route.service.id != target.service || release != target.release) return refused(front, wrongTarget())
+        val now = node.nowMillis()
+        val clamp = now + route.config.timeoutMillis
+        val deadline = (headers.get(MeshHeaders.DEADLINE)?.toLongOrNull() ?: clamp).coerceAtMost(clamp)
+        if (now >= deadline) return refused(front, CallFailure.deadlinePassed(mayHaveRun = false))
+        val callId = headers.get(MeshHeaders.CALL) ?: node.newCallId()
+        if (isKeyRequest(head)) return refused(front) { answerKey(node, front) }
+        headers.remove(MeshHeaders.ROUTE)
+        headers.set(MeshHeaders.DEADLINE, deadline - node.settings.hopMarginMillis)
+        return OwnerExchange(node, front, deadline, callId).also { it.start(head, route, target.release) }
+    }
+
+    private fun wrongTarget() = CallFailure.notRun(FailureReason.WRONG_TARGET)
+
+    private fun refused(
+        front: FrontHandler,
+        failure: CallFailure,
+    ): Exchange {
+        node.metrics.countFailure("owner", failure)
+        return refused(front) { front.answerFailure(failure) }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxySettings.kt
@@ -0,0 +1,44 @@
+package dev.baobabhollow.proxy
+
+import dev.baobabhollow.calls.AdmissionSettings
+import dev.baobabhollow.calls.OutlierSettings
+import dev.baobabhollow.calls.PickerSettings
+import dev.baobabhollow.calls.RetryBudgetSettings
+import dev.baobabhollow.model.Endpoint
+
+/** Configures the data plane of a node. */
+data class ProxySettings(
+    /** Address for callers; port 0 picks a free one. */
+    val callersEndpoint: Endpoint,
+    /** Number of event loop threads. */
+    val eventLoops: Int = 2,
+    val maxInitialLineBytes: Int = 8_192,
+    val maxHeaderBytes: Int = 16_384,
+    /** Longest request body; longer ones are refused with 413. */
+    val maxRequestBodyBytes: Long = 256L * 1024 * 1024,
+    /** Bytes of a request body that an entry node keeps so that it can send the request again. */
+    val replayBytes: Int = 32_768,
+    /** Bytes of a request body that an owner collects before the call takes a slot, so that a slow sender holds none. */
+    val collectBytes: Int = 65_536,
+    /** Longest answer that is kept for a repeated idempotency key. */
+    val storedAnswerBytes: Int = 16_384,
+    /** Time for which an issued idempotency key is valid. */
+    val keyLifetimeMillis: Long = 120_000,
+    /** Most attempts for a call, the first one included. */
+    val maxAttempts: Int = 3,
+    /** Nested calls after which a call is taken for a loop. */
+    val maxHops: Int = 64,
+    /** Time by which each hop shortens the deadline, so that the inner hop reports first. */
+    val hopMarginMillis: Long = 2,
+    val connectTimeoutMillis: Int = 1_000,
+    /** Must be below [callerIdleMillis], so that an entry node never reuses a connection that its owner is closing. */
+    val upstreamIdleMillis: Long = 20_000,
+    val callerIdleMillis: Long = 75_000,
+    /** Time in which the rest of a refused request is read, because closing at once would destroy the answer. */
+    val lingerMillis: Long = 1_000,
+    val connectionsPerOwnerAndLoop: Int = 256,
+    val picker: PickerSettings = PickerSettings(),
+    val outliers: OutlierSettings = OutlierSettings(),
+    val retries: RetryBudgetSettings = RetryBudgetSettings(),
+    val admission: AdmissionSettings = AdmissionSettings(),
+)
--- /dev/null
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/RelayExchange.kt
@@ -0,0 +1,117 @@
+package dev.baobabhollow.proxy
+
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.concurrent.ScheduledFuture
+import java.util.concurrent.TimeUnit
+
+/** Relays a request to an attempt and its answer to the connection at [front] until [deadlineMillis]. */
+internal abstract class RelayExchange(
+    protected val node: NodeCore,
+    protected val front: FrontHandler,
+    protected val deadlineMillis: Long,
+) : Exchange,
+    AnswerListener {
+    protected var attempt: Attempt? = null
+    protected var isEnded = false
+    private var requestBytes = 0L
+    private var timer: ScheduledFuture<*>? = null
+
+    /** Name of this leg in the metrics. */
+    protected abstract val leg: String
+
+    protected fun startTimer() {
+        if (isEnded) return
+        val delay = (deadlineMillis - node.nowMillis()).coerceAtLeast(0)
+        timer = front.loop.schedule({ onDeadline() }, delay, TimeUnit.MILLISECONDS)
+    }
+
+    override val isWritable: Boolean get() = attempt?.isWritable ?: true
+
+    override fun onRequestBody(content: HttpContent) {
+        requestBytes += content.content().readableBytes()
+        if (requestBytes > node.settings.maxRequestBodyBytes) {
+            content.release()
+            return failBeforeAnswer(FailureReason.BODY_TOO_LARGE)
+        }
+        forward(content)
+    }
+
+    protected open fun forward(content: HttpContent) {
+        attempt?.body(content) ?: content.release()
+    }
+
+    override fun onRequestReadComplete() {
+        attempt?.flush()
+    }
+
+    override fun onFrontWritability(isWritable: Boolean) {
+        attempt?.setReading(isWritable)
+    }
+
+    override fun onFrontClosed() {
+        if (isEnded) return
+        cancelAttempt()
+        end()
+        onEnd(null, CallFailure.unknown(FailureReason.CANCELLED))
+    }
+
+    override fun onWritabilityChanged() = front.updateReading()
+
+    override fun onAnswerHead(head: HttpResponse) {
+        front.answerHead(head)
+        if (!front.isWritable) attempt?.setReading(false)
+    }
+
+    override fun onAnswerBody(content: HttpContent) {
+        if (content is LastHttpContent) {
+            end()
+            onEnd(null, null)
+        }
+        front.answerBody(content)
+        if (!isEnded && !front.isWritable) attempt?.setReading(false)
+    }
+
+    override fun onAnswerReadComplete() = front.flush()
+
+    override fun onFailure(failure: CallFailure) = fail(failure)
+
+    /** Ends the exchange with [failure] as its answer. */
+    protected fun fail(failure: CallFailure) {
+        if (isEnded) return
+        cancelAttempt()
+        end()
+        node.metrics.countFailure(leg, failure)
+        onEnd(failure.status.code(), failure)
+        front.answerFailure(failure)
+    }
+
+    private fun failBeforeAnswer(reason: FailureReason) {
+        val status = HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE
+        val outcome = if (attempt?.mayHaveRun == true) CallOutcome.UNKNOWN else CallOutcome.NOT_RUN
+        fail(CallFailure(status, outcome, reason))
+    }
+
+    private fun onDeadline() = fail(CallFailure.deadlinePassed(mayHaveRun = attempt?.mayHaveRun == true))
+
+    private fun cancelAttempt() {
+        attempt?.cancel()
+    }
+
+    private fun end() {
+        isEnded = true
+        timer?.cancel(false)
+        release()
+    }
+
+    /** Releases what the exchange holds. */
+    protected open fun release() = Unit
+
+    /** Is called once with the status and failure of a generated error, or with nulls for a whole answer. */
+    protected abstract fun onEnd(
+        status: Int?,
+        failure: CallFailure?,
+    )
+}
--- /dev/null
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
@@ -0,0 +1,250 @@
+package dev.baobabhollow.proxy
+
+import dev.baobabhollow.calls.Refusal
+import dev.baobabhollow.calls.Route
+import dev.baobabhollow.calls.SlotRequest
+import dev.baobabhollow.calls.Ticket
+import dev.baobabhollow.model.ReleaseId
+import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.LastHttpContent
+
+/**
+ * Hands a request to the node's own target: collects the body up to a limit, waits for a slot, claims the idempotency key
+ * if there is one, and then sends the request. The slot is free again when the connection is.
+ */
+internal class TargetCall(
+    private val node: NodeCore,
+    private val loop: EventLoop,
+    private val route: Route,
+    private val release: ReleaseId,
+    private val callId: String,
+    private val deadlineMillis: Long,
+    private val listener: AnswerListener,
+) : Attempt,
+    AnswerListener {
+    private var head: HttpRequest? = null
+    private var key: ClaimedKey? = null
+    private var ticket: Ticket? = null
+    private var upstream: UpstreamCall? = null
+    private val pending = PendingBody()
+    private var isSubmitted = false
+    private var isSlotHeld = false
+    private var isEnded = false
+    private var isSilent = false
+    private var startMicros = 0L
+    private var startLoadPermille = 0
+    private var result: TargetResult? = null
+
+    override val mayHaveRun: Boolean get() = upstream?.mayHaveRun == true
+
+    override val isWritable: Boolean
+        get() = upstream?.isWritable ?: (pending.bytes < node.settings.collectBytes)
+
+    override fun start(head: HttpRequest) {
+        this.head = head
+    }
+
+    override fun body(content: HttpContent) {
+        val call = upstream
+        when {
+            call != null -> call.body(content)
+            isEnded -> content.release()
+            else -> collect(content)
+        }
+    }
+
+    private fun collect(content: HttpContent) {
+        pending.add(content)
+        if (!isSubmitted && (pending.isWhole || pending.bytes >= node.settings.collectBytes)) submit()
+    }
+
+    private fun submit() {
+        isSubmitted = true
+        val request = SlotRequest(route.service.config.member, route.id, route.config.callClass, deadlineMillis)
+        var early: (() -> Unit)? = null
+        val submitted =
+            node.admission.submit(request, node.nowMicros(), node.nowMillis()) { refusal ->
+                if (loop.inEventLoop() &&
+                    ticket == null
+                ) {
+                    early = { onDecided(refusal) }
+                } else {
+                    loop.execute { onDecided(refusal) }
+                }
+            }
+        ticket = submitted
+        early?.invoke()
+    }
+
+    private fun onDecided(refusal: Refusal?) {
+        if (isEnded) return
+        if (refusal != null) return finish(CallFailure.of(refusal))
+        isSlotHeld = true
+        startLoadPermille = node.admission.loadPermille
+        val text = head?.headers()?.get(MeshHeaders.KEY)
+        if (text == null || route.config.idempotent) return send()
+        node.claims.claim(text, deadlineMillis, node.nowMillis()) { decision ->
+            if (loop.inEventLoop()) onClaim(text, decision) else loop.execute { onClaim(text, decision) }
+        }
+    }
+
+    private fun onClaim(
+        text: String,
+        decision: KeyDecision,
+    ) {
+        if (decision is KeyDecision.Granted) key = ClaimedKey(node.claims, text, node.settings.storedAnswerBytes)
+        if (isEnded) {
+            key?.release()
+            return
+        }
+        when (decision) {
+            is KeyDecision.Granted -> send()
+            is KeyDecision.Answered -> answerStored(decision.answer)
+            is KeyDecision.Used -> finish(conflict(FailureReason.KEY_USED, CallOutcome.UNKNOWN))
+            is KeyDecision.Expired -> finish(conflict(FailureReason.KEY_EXPIRED, CallOutcome.NOT_RUN))
+            is KeyDecision.Unavailable -> finish(CallFailure.notRun(FailureReason.CLAIMS_UNAVAILABLE))
+        }
+    }
+
+    private fun conflict(
+        reason: FailureReason,
+        outcome: CallOutcome,
+    ) = CallFailure(HttpResponseStatus.CONFLICT, outcome, reason)
+
+    private fun send() {
+        val request = head ?: return
+        val pool = node.pools(loop).target
+        if (pool == null) return finish(CallFailure.notRun(FailureReason.WRONG_TARGET))
+        if (node.nowMillis() >= deadlineMillis) return finish(CallFailure.deadlinePassed(mayHaveRun = false))
+        startMicros = node.nowMicros()
+        val call = UpstreamCall(pool, callId, FailureReason.TARGET_UNREACHABLE, this)
+        upstream = call
+        call.start(request)
+        pending.drain(call::body)
+        call.flush()
+    }
+
+    private fun answerStored(answer: StoredAnswer) {
+        isEnded = true
+        freeSlot(isMeasured = false)
+        pending.clear()
+        listener.onAnswerHead(storedHead(answer))
+        listener.onAnswerBody(storedBody(answer))
+    }
+
+    /** Ends the call with an error before anything was handed over. */
+    private fun finish(failure: CallFailure) {
+        isEnded = true
+        pending.clear()
+        freeSlot(isMeasured = false)
+        key?.release()
+        listener.onFailure(failure)
+    }
+
+    override fun flush() {
+        upstream?.flush()
+    }
+
+    override fun setReading(isReading: Boolean) {
+        upstream?.setReading(isReading)
+    }
+
+    override fun cancel() {
+        if (isEnded) return
+        isEnded = true
+        isSilent = true
+        pending.clear()
+        val call = upstream
+        if (call == null) {
+            ticket?.let { node.admission.end(it, node.nowMicros(), node.nowMillis(), isMeasured = false) }
+            return
+        }
+        key?.fail(call.mayHaveRun)
+        if (node.nowMillis() >= deadlineMillis && call.mayHaveRun) record(TargetResult.ERROR)
+        call.cancel()
+    }
+
+    override fun abandon() {
+        isSilent = true
+        if (upstream == null) cancel() else upstream?.abandon()
+    }
+
+    override fun onAnswerHead(head: HttpResponse) {
+        val code = head.status().code()
+        result = resultOf(code)
+        head.headers().remove(MeshHeaders.OUTCOME)
+        head.headers().remove(MeshHeaders.REASON)
+        head.headers().set(MeshHeaders.RELEASE, release.value)
+        head.headers().set(MeshHeaders.LOAD, node.admission.loadPermille)
+        head.headers().set(MeshHeaders.CALL, callId)
+        head.headers().removeHopByHop()
+        key?.onHead(head)
+        if (!isSilent) listener.onAnswerHead(head)
+    }
+
+    private fun resultOf(code: Int): TargetResult =
+        when {
+            code == TOO_MANY_REQUESTS || code == UNAVAILABLE -> {
+                if (startLoadPermille >= SHED_LOAD_PERMILLE) TargetResult.SHED else TargetResult.ERROR
+            }
+
+            code >= SERVER_ERRORS -> {
+                TargetResult.ERROR
+            }
+
+            else -> {
+                TargetResult.SUCCESS
+            }
+        }
+
+    override fun onAnswerBody(content: HttpContent) {
+        key?.onBody(content)
+        if (content is LastHttpContent) {
+            isEnded = true
+            record(result ?: TargetResult.ERROR)
+            key?.finish()
+        }
+        if (isSilent) content.release() else listener.onAnswerBody(content)
+    }
+
+    override fun onAnswerReadComplete() {
+        if (!isSilent) listener.onAnswerReadComplete()
+    }
+
+    override fun onWritabilityChanged() {
+        if (!isSilent) listener.onWritabilityChanged()
+    }
+
+    override fun onFailure(failure: CallFailure) {
+        isEnded = true
+        record(TargetResult.ERROR)
+        key?.fail(failure.outcome == CallOutcome.UNKNOWN)
+        if (!isSilent) listener.onFailure(failure)
+    }
+
+    override fun onReleased() = freeSlot(isMeasured = result != null)
+
+    private fun record(result: TargetResult) {
+        node.recorder.recordTarget(route, release, result, node.nowMicros() - startMicros)
+    }
+
+    private fun freeSlot(isMeasured: Boolean) {
+        val held = ticket ?: return
+        if (!isSlotHeld) return
+        isSlotHeld = false
+        node.admission.end(held, node.nowMicros(), node.nowMillis(), isMeasured)
+    }
+
+    private companion object {
+        const val TOO_MANY_REQUESTS = 429
+        const val UNAVAILABLE = 503
+        const val SERVER_ERRORS = 500
+
+        /** Load of the slots from which on a refusal by the target counts as shed load and not as an error. */
+        const val SHED_LOAD_PERMILLE = 500
+    }
+}
--- /dev/null
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamCall.kt
@@ -0,0 +1,163 @@
+package dev.baobabhollow.proxy
+
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.concurrent.Future
+
+/** Sends one request over a pooled connection and passes the answer to [listener]. */
+internal class UpstreamCall(
+    private val pool: ConnectionPool,
+    private val callId: String,
+    private val unreachable: FailureReason,
+    private val listener: AnswerListener,
+) : Attempt {
+    private enum class State { CONNECTING, OPEN, DISCARDING, ENDED }
+
+    private var state = State.CONNECTING
+    private var connection: UpstreamConnection? = null
+    private val pending = PendingBody()
+    private var isStarted = false
+    private var discardedBytes = 0L
+
+    /** True once the head of the request has been written. */
+    val isRequestStarted: Boolean get() = isStarted
+
+    /** True once the whole request has been written. */
+    var isRequestDone = false
+        private set
+
+    override var mayHaveRun = false
+        private set
+
+    override val isWritable: Boolean
+        get() = connection?.channel?.isWritable ?: pending.isEmpty
+
+    override fun start(head: HttpRequest) {
+        pool.acquire { acquired, failure -> onConnection(head, acquired, failure) }
+    }
+
+    private fun onConnection(
+        head: HttpRequest,
+        acquired: UpstreamConnection?,
+        failure: FailureReason?,
+    ) {
+        if (state == State.ENDED) {
+            acquired?.let(pool::release)
+            return
+        }
+        if (acquired == null) {
+            state = State.ENDED
+            pending.clear()
+            listener.onFailure(CallFailure.notRun(failure ?: unreachable))
+            listener.onReleased()
+            return
+        }
+        connection = acquired
+        state = State.OPEN
+        acquired.begin(this, head.method())
+        isStarted = true
+        // Only a head that was written in full can be run; until the write succeeds the call has not been handed over.
+        acquired.channel.write(head).addListener { future -> onHeadWritten(future) }
+        pending.drain(::write)
+        flush()
+        listener.onWritabilityChanged()
+    }
+
+    private fun onHeadWritten(future: Future<*>) {
+        if (future.isSuccess) mayHaveRun = true else connection?.channel?.close()
+    }
+
+    override fun body(content: HttpContent) {
+        when (state) {
+            State.CONNECTING -> pending.add(content)
+            State.OPEN -> write(content)
+            else -> content.release()
+        }
+    }
+
+    private fun write(content: HttpContent) {
+        val channel = connection?.channel
+        if (channel == null) {
+            content.release()
+            return
+        }
+        if (content is LastHttpContent) isRequestDone = true
+        channel.write(content, channel.voidPromise())
+    }
+
+    override fun flush() {
+        connection?.channel?.flush()
+    }
+
+    override fun setReading(isReading: Boolean) {
+        if (state == State.OPEN) connection?.setReading(isReading)
+    }
+
+    override fun cancel() {
+        if (state == State.ENDED) return
+        val wasConnecting = state == State.CONNECTING
+        state = State.ENDED
+        pending.clear()
+        if (wasConnecting) listener.onReleased() else connection?.end(isReusable = false)
+    }
+
+    override fun abandon() {
+        if (state != State.OPEN) return cancel()
+        if (!isRequestDone) return cancel()
+        state = State.DISCARDING
+        connection?.setReading(true)
+    }
+
+    /** Tells whether [head] can be the answer to this call. */
+    fun accepts(head: HttpResponse): Boolean {
+        val echoed = head.headers().get(MeshHeaders.CALL) ?: return true
+        return echoed == callId
+    }
+
+    fun onHead(head: HttpResponse) {
+        if (state == State.OPEN) listener.onAnswerHead(head)
+    }
+
+    fun onBody(content: HttpContent) {
+        if (state != State.OPEN) {
+            discard(content)
+            return
+        }
+        if (content is LastHttpContent) state = State.ENDED
+        listener.onAnswerBody(content)
+    }
+
+    private fun discard(content: HttpContent) {
+        discardedBytes += content.content().readableBytes()
+        content.release()
+        if (discardedBytes > MAX_DISCARDED_BYTES) connection?.end(isReusable = false)
+    }
+
+    fun onReadComplete() {
+        if (state == State.OPEN) listener.onAnswerReadComplete()
+    }
+
+    fun onWritabilityChanged() {
+        if (state == State.OPEN) listener.onWritabilityChanged()
+    }
+
+    fun onReleased() = listener.onReleased()
+
+    /** Ends the call without a whole answer. */
+    fun fail(reason: FailureReason) {
+        val wasOpen = state == State.OPEN
+        state = State.ENDED
+        pending.clear()
+        connection?.end(isReusable = false)
+        if (!wasOpen) return
+        val failure = if (mayHaveRun) CallFailure.unknown(reason) else CallFailure.notRun(reason)
+        listener.onFailure(failure)
+    }
+
+    private companion object {
+        /** Reading a longer rest costs more than a new connection. */
+        const val MAX_DISCARDED_BYTES = 65_536L
+    }
+}
