--- /dev/null
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/ScriptedTarget.kt
@@ -0,0 +1,177 @@
+package dev.baobabhollow.proxy
+
+import java.io.InputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+
+private val LOOPBACK: InetAddress = InetAddress.getByName("127.0.0.1")
+private const val WAIT_SECONDS = 20L
+
+/** Holds the start line, headers and body of a message. */
+internal data class Message(
+    val startLine: String,
+    val headers: Map<String, String>,
+    val body: String,
+) {
+    val status: Int get() = startLine.split(' ')[1].toInt()
+    val path: String get() = startLine.split(' ')[1]
+    val outcome: String? get() = headers["x-baobabhollow-outcome"]
+    val reason: String? get() = headers["x-baobabhollow-reason"]
+}
+
+/** Reads and writes raw HTTP on one connection, so that tests control every byte. */
+internal class Wire(
+    val socket: Socket,
+) : AutoCloseable {
+    private val input: InputStream = socket.getInputStream().buffered()
+
+    init {
+        socket.soTimeout = TimeUnit.SECONDS.toMillis(WAIT_SECONDS).toInt()
+        socket.tcpNoDelay = true
+    }
+
+    fun send(text: String) {
+        socket.getOutputStream().write(text.toByteArray(Charsets.ISO_8859_1))
+        socket.getOutputStream().flush()
+    }
+
+    fun answer(
+        body: String,
+        status: String = "200 OK",
+        headers: String = "",
+    ) = send("HTTP/1.1 $status\r\n${headers}content-length: ${body.length}\r\n\r\n$body")
+
+    /** Reads the head and, unless [withBody] is false, the body. Returns null at the end of the connection. */
+    fun read(withBody: Boolean = true): Message? {
+        val startLine = readLine() ?: return null
+        val headers = generateSequence { readLine()?.ifEmpty { null } }.associate(::headerOf)
+        val body = if (withBody) readBody(headers) ?: return null else ""
+        return Message(startLine, headers, body)
+    }
+
+    /** Reads until the other side closes and returns what came. */
+    fun readToEnd(): String = runCatching { String(input.readAllBytes(), Charsets.ISO_8859_1) }.getOrElse { "reset" }
+
+    fun readBytes(count: Int): String = String(input.readNBytes(count), Charsets.ISO_8859_1)
+
+    private fun headerOf(line: String): Pair<String, String> =
+        line.substringBefore(':').lowercase() to line.substringAfter(':').trim()
+
+    private fun readBody(headers: Map<String, String>): String? {
+        if (headers["transfer-encoding"] == "chunked") return readChunks()
+        val length = headers["content-length"]?.toInt() ?: 0
+        return readBytes(length).takeIf { it.length == length }
+    }
+
+    private fun readChunks(): String? {
+        val body = StringBuilder()
+        while (true) {
+            val size = readLine()?.toInt(16) ?: return null
+            body.append(readBytes(size))
+            readLine() ?: return null
+            if (size == 0) return body.toString()
+        }
+    }
+
+    private fun readLine(): String? {
+        val line = StringBuilder()
+        while (true) {
+            val byte = runCatching { input.read() }.getOrElse { -1 }
+            if (byte < 0) return null
+            if (byte == '\n'.code) return line.toString().removeSuffix("\r")
+            line.append(byte.toChar())
+        }
+    }
+
+    override fun close() = socket.close()
+}
+
+/** Runs [script] on a thread for every accepted connection. */
+internal class ScriptedTarget(
+    private val script: (Wire) -> Unit,
+) : AutoCloseable {
+    private val server = ServerSocket(0, 200, LOOPBACK)
+    private val wires = CopyOnWriteArrayList<Wire>()
+    val port: Int get() = server.localPort
+
+    init {
+        thread(isDaemon = true) {
+            while (true) {
+                val socket = runCatching { server.accept() }.getOrNull() ?: break
+                val wire = Wire(socket)
+                wires += wire
+                thread(isDaemon = true) { runCatching { wire.use(script) } }
+            }
+        }
+    }
+
+    override fun close() {
+        server.close()
+        wires.forEach { it.close() }
+    }
+
+    companion object {
+        /** Answers every request by [answer], and counts requests in [runs]. */
+        fun answering(
+            runs: AtomicInteger = AtomicInteger(),
+            answer: Wire.(Message) -> Unit,
+        ) = ScriptedTarget { wire ->
+            while (true) {
+                val request = wire.read() ?: break
+                runs.incrementAndGet()
+                wire.answer(request)
+            }
+        }
+    }
+}
+
+/** Opens a raw connection to [port]. */
+internal fun connect(port: Int): Wire = Wire(Socket(LOOPBACK, port))
+
+/** Sends one request on a new connection and returns its whole answer, or null if the connection ended early. */
+internal fun call(
+    port: Int,
+    path: String,
+    method: String = "GET",
+    headers: String = "",
+    body: String = "",
+): Message? = connect(port).use { it.call(path, method, headers, body) }
+
+/** Sends one request and returns its whole answer, or null if the connection ended early. */
+internal fun Wire.call(
+    path: String,
+    method: String = "GET",
+    headers: String = "",
+    body: String = "",
+): Message? {
+    val length = if (body.isEmpty()) "" else "content-length: ${body.length}\r\n"
+    send("$method $path HTTP/1.1\r\nhost: test\r\n$headers$length\r\n$body")
+    return read()
+}
+
+/** Passes values between the threads of a test. */
+internal class Signal<T : Any> {
+    private val queue = LinkedBlockingQueue<T>()
+
+    fun send(value: T) = queue.put(value)
+
+    fun await(): T = checkNotNull(queue.poll(WAIT_SECONDS, TimeUnit.SECONDS)) { "no signal within $WAIT_SECONDS s" }
+}
+
+/** Repeats [condition] until it holds; fails the test after a deadline. */
+internal fun awaitUntil(
+    what: String,
+    condition: () -> Boolean,
+) {
+    val end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS)
+    while (!condition()) {
+        check(System.nanoTime() < end) { "not within $WAIT_SECONDS s: $what" }
+        Thread.onSpinWait()
+    }
+}
--- /dev/null
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/TestMesh.kt
@@ -0,0 +1,94 @@
+package dev.baobabhollow.proxy
+
+import dev.baobabhollow.calls.RoutingTable
+import dev.baobabhollow.membership.FleetView
+import dev.baobabhollow.model.CallClass
+import dev.baobabhollow.model.ConfigurationState
+import dev.baobabhollow.model.Endpoint
+import dev.baobabhollow.model.FailureDomainId
+import dev.baobabhollow.model.MemberConfig
+import dev.baobabhollow.model.MemberId
+import dev.baobabhollow.model.MeshConfig
+import dev.baobabhollow.model.NodeId
+import dev.baobabhollow.model.NodeRecord
+import dev.baobabhollow.model.NodeStatus
+import dev.baobabhollow.model.ReleaseId
+import dev.baobabhollow.model.RouteConfig
+import dev.baobabhollow.model.RouteId
+import dev.baobabhollow.model.ServiceConfig
+import dev.baobabhollow.model.ServiceId
+import dev.baobabhollow.model.TargetRecord
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+
+private val SERVICE = ServiceId("pedidos")
+private val RELEASE = ReleaseId("1")
+
+/** Runs an entry node without a target and one owner node for each of [targetPorts], on loopback in this process. */
+internal class TestMesh(
+    private val targetPorts: List<Int>,
+    private val slots: Int = 4,
+    private val settings: ProxySettings = ProxySettings(Endpoint("127.0.0.1", 0)),
+    private val timeoutMillis: Long = 10_000,
+    private val claims: KeyClaims = NoKeyClaims,
+    private val nowMillis: () -> Long = System::currentTimeMillis,
+) : AutoCloseable {
+    @Volatile
+    var table: RoutingTable = RoutingTable.EMPTY
+    private val entryRecord = record("entry", 0, null)
+    private val target = TargetRecord(SERVICE, RELEASE, slots, connections = slots * 4)
+    private val ownerRecords = targetPorts.indices.map { record("owner-$it", 0, target) }
+    val entry = server(entryRecord, null)
+    val owners = ownerRecords.zip(targetPorts).map { (record, port) -> server(record, Endpoint("127.0.0.1", port)) }
+    val port: Int get() = entry.callersPort
+
+    init {
+        table = compile()
+    }
+
+    private fun compile(): RoutingTable {
+        val nodes =
+            ownerRecords.zip(owners).map { (record, owner) ->
+                record.copy(peerCallEndpoint = at(owner.peerCallPort))
+            }
+        val view = FleetView(entryRecord.node, (nodes + entryRecord).associateBy { it.node }, 1)
+        return RoutingTable.compile(ConfigurationState(offset = 1, version = 1, mesh = config()), view, emptySet())
+    }
+
+    private fun config() =
+        MeshConfig(
+            mapOf(MemberId("m") to MemberConfig("Member")),
+            mapOf(SERVICE to ServiceConfig(MemberId("m"), setOf(RELEASE), RELEASE)),
+            mapOf(
+                RouteId("stock") to route("/stock", isIdempotent = true, CallClass.LOOKUP),
+                RouteId("orders") to route("/orders", isIdempotent = false, CallClass.LOOKUP),
+                RouteId("drawings") to route("/drawings", isIdempotent = true, CallClass.UPLOAD),
+            ),
+        )
+
+    private fun route(
+        prefix: String,
+        isIdempotent: Boolean,
+        callClass: CallClass,
+    ) = RouteConfig(SERVICE, prefix, isIdempotent, callClass, timeoutMillis)
+
+    private fun record(
+        name: String,
+        port: Int,
+        target: TargetRecord?,
+    ) = NodeRecord(NodeId(name), FailureDomainId("a"), 1, NodeStatus.ALIVE, at(1), at(port), at(1), target)
+
+    private fun at(port: Int) = Endpoint("127.0.0.1", port)
+
+    private fun server(
+        record: NodeRecord,
+        target: Endpoint?,
+    ): ProxyServer {
+        val metrics = ProxyMetrics(PrometheusRegistry())
+        return ProxyServer(settings, record, { table }, target, nowMillis, OutcomeRecorder(), claims, metrics)
+    }
+
+    override fun close() {
+        entry.close()
+        owners.forEach { it.close() }
+    }
+}
--- /dev/null
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/WholeAnswerSpec.kt
@@ -0,0 +1,148 @@
+package dev.baobabhollow.proxy
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldNotContain
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Guards against a caller that takes a wrong, foreign or incomplete answer for the answer to its own request. */
+class WholeAnswerSpec :
+    DescribeSpec({
+        fun withTarget(
+            script: (Wire) -> Unit,
+            check: (TestMesh) -> Unit,
+        ) = ScriptedTarget(script).use { target -> TestMesh(listOf(target.port)).use(check) }
+
+        describe("an answer") {
+            it("reaches its caller with status, headers and body") {
+                val target = ScriptedTarget.answering { answer("for ${it.path} ${it.body}", headers = "x-own: 1\r\n") }
+                target.use {
+                    TestMesh(listOf(target.port)).use { mesh ->
+                        val wire = connect(mesh.port)
+                        val first = wire.call("/stock/1")
+                        first?.status shouldBe 200
+                        first?.body shouldBe "for /stock/1 "
+                        first?.headers?.get("x-own") shouldBe "1"
+                        first?.headers?.get("x-baobabhollow-release") shouldBe "1"
+                        first?.headers?.get("x-baobabhollow-call") shouldBe null
+                        wire.call("/stock/2", "POST", body = "text")?.body shouldBe "for /stock/2 text"
+                        wire.send("GET /stock/3 HTTP/1.1\r\nhost: a\r\n\r\nGET /stock/4 HTTP/1.1\r\nhost: a\r\n\r\n")
+                        wire.read()?.body shouldBe "for /stock/3 "
+                        wire.read()?.body shouldBe "for /stock/4 "
+                        call(mesh.port, "/unknown")?.status shouldBe 404
+                    }
+                }
+            }
+
+            it("passes in chunks and is larger than all buffers") {
+                val chunk = "x".repeat(10_000)
+                withTarget({ wire ->
+                    wire.read()
+                    wire.send("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+                    repeat(300) { wire.send("2710\r\n$chunk\r\n") }
+                    wire.send("0\r\n\r\n")
+                    wire.read()
+                }) { mesh ->
+                    call(mesh.port, "/stock")?.body?.length shouldBe 3_000_000
+                }
+            }
+
+            it("closes the caller's connection when it is truncated") {
+                withTarget({ wire ->
+                    wire.read()
+                    wire.send("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf")
+                }) { mesh ->
+                    connect(mesh.port).use { wire ->
+                        wire.call("/orders") shouldBe null
+                    }
+                }
+            }
+
+            it("is an error with unknown outcome when it is malformed, oversized or without a length") {
+                val huge = "x-huge: ${"a".repeat(40_000)}\r\n"
+                val broken =
+                    listOf(
+                        "garbage\r\n\r\n",
+                        "HTTP/1.1 200 OK\r\n\r\nno length",
+                        "HTTP/1.1 200 OK\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+                        "HTTP/1.1 200 OK\r\n${huge}content-length: 0\r\n\r\n",
+                        "HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\n\r\n",
+                    )
+                broken.forEach { text ->
+                    withTarget({ wire ->
+                        wire.read()
+                        wire.send(text)
+                    }) { mesh ->
+                        val answer = call(mesh.port, "/orders", "POST")
+                        answer?.status shouldBe 502
+                        answer?.outcome shouldBe "unknown"
+                    }
+                }
+            }
+
+            it("reaches nobody else when it is duplicated") {
+                val runs = AtomicInteger()
+                withTarget({ wire ->
+                    while (true) {
+                        val request = wire.read() ?: break
+                        runs.incrementAndGet()
+                        val text = "for ${request.path}"
+                        val answer = "HTTP/1.1 200 OK\r\ncontent-length: ${text.length}\r\n\r\n$text"
+                        wire.send(answer + answer)
+                    }
+                }) { mesh ->
+                    connect(mesh.port).use { wire ->
+                        repeat(20) { wire.call("/stock/$it")?.body shouldBe "for /stock/$it" }
+                    }
+                }
+                runs.get() shouldBe 20
+            }
+
+            it("reaches nobody when it comes after the caller has gone or the deadline has passed") {
+                val asked = Signal<Wire>()
+                withTarget({ wire ->
+                    while (true) {
+                        val request = wire.read() ?: break
+                        if (request.path == "/stock/slow") asked.send(wire) else wire.answer("for ${request.path}")
+                    }
+                }) { mesh ->
+                    val slow = connect(mesh.port)
+                    slow.send("GET /stock/slow HTTP/1.1\r\nhost: a\r\n\r\n")
+                    val late = asked.await()
+                    slow.close()
+                    awaitUntil("the exchange ends") { mesh.owners[0].inFlight == 0 }
+                    runCatching { late.answer("for /stock/slow") }
+                    repeat(10) { call(mesh.port, "/stock/$it")?.body shouldBe "for /stock/$it" }
+                }
+            }
+
+            // A target that crosses two answers can only be noticed if it echoes the identifier of the call.
+            it("is refused when it carries the identifier of another call") {
+                withTarget({ wire ->
+                    wire.read()
+                    wire.answer("foreign", headers = "x-baobabhollow-call: other\r\n")
+                }) { mesh ->
+                    val answer = call(mesh.port, "/orders")
+                    answer?.status shouldBe 502
+                    answer.toString() shouldNotContain "foreign"
+                    answer.toString() shouldContain "malformed-answer"
+                }
+            }
+
+            it("has no body when the request was HEAD") {
+                withTarget({ wire ->
+                    wire.read()
+                    wire.send("HTTP/1.1 200 OK\r\ncontent-length: 500\r\n\r\n")
+                    wire.read()
+                    wire.answer("next")
+                }) { mesh ->
+                    connect(mesh.port).use { wire ->
+                        wire.send("HEAD /stock HTTP/1.1\r\nhost: a\r\n\r\n")
+                        wire.read(withBody = false)?.headers?.get("content-length") shouldBe "500"
+                        wire.call("/stock")?.body shouldBe "next"
+                    }
+                }
+            }
+        }
+    })
