--- /dev/null
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/BadRequestSpec.kt
@@ -0,0 +1,99 @@
+package dev.baobabhollow.proxy
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Guards against requests whose end or route two servers could see differently, and against unbounded memory. */
+class BadRequestSpec :
+    DescribeSpec({
+        val runs = AtomicInteger()
+        val target = autoClose(ScriptedTarget.answering(runs) { answer("ran") })
+        val settings = ProxySettings(LOOPBACK_ANY, maxRequestBodyBytes = 1_000_000)
+        val mesh = autoClose(TestMesh(listOf(target.port), settings = settings))
+        val host = "host: a\r\n"
+
+        fun check(
+            text: String,
+            status: Int,
+        ) {
+            val before = runs.get()
+            listOf(mesh.port, mesh.owners[0].peerCallPort).forEach { port ->
+                connect(port).use { wire ->
+                    wire.send(text)
+                    val answer = wire.read()
+                    answer?.status shouldBe status
+                    answer?.outcome shouldBe "not-run"
+                    wire.readToEnd() shouldBe ""
+                }
+            }
+            runs.get() shouldBe before
+        }
+
+        describe("a malformed request gets an error and a closed connection") {
+            it("when it is garbage") { check("garbage\r\n\r\n", 400) }
+            it(
+                "when its headers are too large",
+            ) { check("GET /stock HTTP/1.1\r\nx: ${"a".repeat(20_000)}\r\n\r\n", 431) }
+            it("when its start line is too long") { check("GET /${"a".repeat(9_000)} HTTP/1.1\r\n\r\n", 431) }
+            it("when it has two kinds of length") {
+                val both = "content-length: 4\r\ntransfer-encoding: chunked\r\n"
+                check("POST /stock HTTP/1.1\r\n$host$both\r\n0\r\n\r\n", 400)
+            }
+            it("when it has two lengths") {
+                check("POST /stock HTTP/1.1\r\n${host}content-length: 1\r\ncontent-length: 2\r\n\r\nab", 400)
+            }
+            it("when its transfer encoding is not plainly chunked") {
+                check("POST /stock HTTP/1.1\r\n${host}transfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 400)
+                check("POST /stock HTTP/1.1\r\n${host}transfer-encoding: xchunked\r\n\r\n0\r\n\r\n", 400)
+            }
+            it("when its version is not supported") { check("GET /stock HTTP/1.0\r\n$host\r\n", 505) }
+            it("when it has no host or two") {
+                check("GET /stock HTTP/1.1\r\n\r\n", 400)
+                check("GET /stock HTTP/1.1\r\n$host$host\r\n", 400)
+            }
+        }
+
+        describe("a request whose path a target could resolve differently") {
+            it("is refused") {
+                listOf("/stock/../orders", "/stock/%2e%2e/orders", "/stock/.%2E", "/stock/%zz", "/stock/%").forEach {
+                    connect(mesh.port).use { wire ->
+                        wire.call(it)?.status shouldBe 400
+                        wire.readToEnd() shouldBe ""
+                    }
+                }
+            }
+
+            // An escaped letter must not take an order past the rules of its own route.
+            it("is routed by its plain form") {
+                call(mesh.port, "/%6frders")?.status shouldBe 200
+                call(mesh.port, "/%73tock/a%20b")?.status shouldBe 200
+            }
+        }
+
+        describe("a request body") {
+            it("is refused when it is announced as too long") {
+                val answer = call(mesh.port, "/drawings", "POST", headers = "content-length: 1000001\r\n")
+                answer?.status shouldBe 413
+                answer?.outcome shouldBe "not-run"
+            }
+
+            it("is refused when it grows too long") {
+                connect(mesh.port).use { wire ->
+                    wire.send("POST /drawings HTTP/1.1\r\n${host}transfer-encoding: chunked\r\n\r\n")
+                    val chunk = "186a0\r\n${"x".repeat(100_000)}\r\n"
+                    repeat(11) { wire.send(chunk) }
+                    wire.read()?.status shouldBe 413
+                }
+            }
+
+            it("that breaks off in a chunk closes the connection and is never handed on as whole") {
+                val before = runs.get()
+                connect(mesh.port).use { wire ->
+                    wire.send("POST /drawings HTTP/1.1\r\n${host}transfer-encoding: chunked\r\n\r\n4\r\nabcd\r\nzz\r\n")
+                    wire.readToEnd() shouldBe ""
+                }
+                runs.get() shouldBe before
+            }
+        }
+    })
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/TestMesh.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/TestMesh.kt
@@ -23,11 +23,14 @@
 private val SERVICE = ServiceId("pedidos")
 private val RELEASE = ReleaseId("1")
 
+/** Any free port on loopback. */
+internal val LOOPBACK_ANY = Endpoint("127.0.0.1", 0)
+
 /** Runs an entry node without a target and one owner node for each of [targetPorts], on loopback in this process. */
 internal class TestMesh(
     private val targetPorts: List<Int>,
     private val slots: Int = 4,
-    private val settings: ProxySettings = ProxySettings(Endpoint("127.0.0.1", 0)),
+    private val settings: ProxySettings = ProxySettings(LOOPBACK_ANY),
     private val timeoutMillis: Long = 10_000,
     private val claims: KeyClaims = NoKeyClaims,
     private val nowMillis: () -> Long = System::currentTimeMillis,
