--- a/calls/src/main/kotlin/dev/baobabhollow/calls/TargetPicker.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/TargetPicker.kt
@@ -116,7 +116,11 @@
         if (first == null || second == null) return first
         val a = cost(first, nowMillis)
         val b = cost(second, nowMillis)
-        return if (a < b || (a == b && random.nextBoolean())) first else second
+        return when {
+            a < b * CLEARLY_LOWER -> first
+            b < a * CLEARLY_LOWER -> second
+            else -> if (random.nextBoolean()) first else second
+        }
     }
 
     private fun cost(
@@ -167,6 +171,9 @@
     private companion object {
         const val FULL_PERMILLE = 1_000.0
 
+        /** Costs that differ by less count as equal; else the remains of an old observation would decide every time. */
+        const val CLEARLY_LOWER = 0.9
+
         /** Keeps latencies of a few microseconds from outweighing the calls in flight. */
         const val BASE_LATENCY_MICROS = 200.0
     }
