--- a/bench/src/main/kotlin/dev/baobabhollow/bench/moves/SimulatedTraffic.kt
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/moves/SimulatedTraffic.kt
@@ -13,10 +13,35 @@
 
 /** Counts outcomes of one node and route since its last summary. */
 private class Tally {
-    val latencies = LatencyHistogram()
+    private var latencies = LongArray(INITIAL_SIZE)
+    private var timed = 0
     var calls = 0L
     var errors = 0L
     var shed = 0L
+
+    fun record(micros: Long) {
+        if (timed == latencies.size) latencies = latencies.copyOf(2 * timed)
+        latencies[timed++] = micros
+    }
+
+    /** Returns the encoded latencies; all tallies share [scratch], which stays in the processor's cache. */
+    fun encode(scratch: LatencyHistogram): ByteArray {
+        if (timed == 0) return ByteArray(0)
+        scratch.reset()
+        for (index in 0 until timed) scratch.record(latencies[index])
+        return scratch.encode()
+    }
+
+    fun reset() {
+        timed = 0
+        calls = 0
+        errors = 0
+        shed = 0
+    }
+
+    private companion object {
+        const val INITIAL_SIZE = 16
+    }
 }
 
 /** Holds one target with its node. [phase] spreads the nodes' summaries over time. */
@@ -47,6 +72,7 @@
     private val countsLatency: Boolean,
     private val random: RandomGenerator,
 ) {
+    private val scratch = LatencyHistogram()
     private val routes = traffic.routes.map { RouteId(it.name) }
     private val targets =
         (0 until domains).flatMap { domain ->
@@ -132,7 +158,7 @@
         val factor = loadFactor * fault.slowFactor * around.slowFactor
         tally.calls++
         if (isError) tally.errors++
-        if (countsLatency) tally.latencies.record((route.medianMicros * factor * exp(route.sigma * deviate)).toLong())
+        if (countsLatency) tally.record((route.medianMicros * factor * exp(route.sigma * deviate)).toLong())
         if (atMillis >= plan.startAtMillis) allCalls++
         if (target.isNew) countNew(target, route, fault, isError, deviate, atMillis)
     }
@@ -188,12 +214,9 @@
                 tally.calls,
                 tally.errors,
                 tally.shed,
-                tally.latencies.encode(),
+                tally.encode(scratch),
             )
-        if (countsLatency) tally.latencies.reset()
-        tally.calls = 0
-        tally.errors = 0
-        tally.shed = 0
+        tally.reset()
         return summary
     }
 
--- a/model/src/main/kotlin/dev/baobabhollow/model/LatencyHistogram.kt
+++ b/model/src/main/kotlin/dev/baobabhollow/model/LatencyHistogram.kt
@@ -1,7 +1,6 @@
 package dev.baobabhollow.model
 
 import org.HdrHistogram.Histogram
-import java.nio.ByteBuffer
 
 /**
  * Counts latencies in microseconds from 1 µs to 60 s with two significant digits. Mergeable and bounded in size. Not safe
@@ -59,26 +58,8 @@
         return out.toByteArray()
     }
 
-    /**
-     * Replaces all values by those that [encode] returned as [bytes], without allocating a histogram. Throws
-     * [IllegalArgumentException] for anything else; the content is then undefined until the next [reset] or load.
-     */
-    fun load(bytes: ByteArray) {
-        histogram.reset()
-        mergeEncoded(bytes)
-    }
-
-    /** Adds all values that [encode] returned as [bytes]. Throws [IllegalArgumentException] as [load] does. */
-    fun mergeEncoded(bytes: ByteArray) {
-        val source = ByteBuffer.wrap(bytes)
-        var value = 0L
-        while (source.hasRemaining()) {
-            value += source.readVarint()
-            val occurrences = source.readVarint()
-            require(value in 1..MAX_MICROS && occurrences > 0) { "not an encoded latency histogram: value $value" }
-            histogram.recordValueWithCount(value, occurrences)
-        }
-    }
+    /** Adds all values that [encode] returned as [bytes]. Throws [IllegalArgumentException] as [decode] does. */
+    fun mergeEncoded(bytes: ByteArray) = forEachEncoded(bytes, histogram::recordValueWithCount)
 
     /** Decodes histograms. */
     companion object {
@@ -86,49 +67,28 @@
         const val MAX_MICROS = 60_000_000L
         private const val SIGNIFICANT_DIGITS = 2
         private const val PERCENT = 100.0
-        private const val MAX_VARINT_SHIFT = 42
 
         /** Decodes what [encode] returned. Throws [IllegalArgumentException] for anything else. */
         fun decode(bytes: ByteArray): LatencyHistogram = LatencyHistogram().apply { mergeEncoded(bytes) }
 
-        private fun ByteBuffer.readVarint(): Long {
-            var result = 0L
-            var shift = 0
-            do {
-                require(hasRemaining() && shift <= MAX_VARINT_SHIFT) { "not an encoded latency histogram: bad number" }
-                val next = get().toLong()
-                result = result or ((next and VARINT_MASK) shl shift)
-                shift += VARINT_BITS
-            } while (next < 0)
-            return result
+        /**
+         * Visits the latencies in [bytes] that [encode] returned, in ascending order, each as the lowest value of its
+         * resolution step with the number of its occurrences. Throws [IllegalArgumentException] for anything else.
+         */
+        inline fun forEachEncoded(
+            bytes: ByteArray,
+            visit: (micros: Long, occurrences: Long) -> Unit,
+        ) {
+            val reader = VarintReader(bytes)
+            var value = 0L
+            while (reader.hasRemaining()) {
+                value += reader.read()
+                val occurrences = reader.read()
+                require(value in 1..MAX_MICROS && occurrences > 0) { "not an encoded latency histogram: value $value" }
+                visit(value, occurrences)
+            }
         }
 
         private fun newHistogram() = Histogram(1, MAX_MICROS, SIGNIFICANT_DIGITS)
     }
 }
-
-private const val VARINT_BITS = 7
-private const val VARINT_MASK = 0x7FL
-
-/** Writes nonnegative numbers in groups of 7 bits, lowest first; all bytes but the last have the high bit set. */
-private class VarintWriter {
-    private var bytes = ByteArray(INITIAL_BYTES)
-    private var size = 0
-
-    fun write(value: Long) {
-        if (bytes.size - size < MAX_VARINT_BYTES) bytes = bytes.copyOf(bytes.size * 2)
-        var rest = value
-        while (rest > VARINT_MASK) {
-            bytes[size++] = ((rest and VARINT_MASK) or (VARINT_MASK + 1)).toByte()
-            rest = rest ushr VARINT_BITS
-        }
-        bytes[size++] = rest.toByte()
-    }
-
-    fun toByteArray(): ByteArray = bytes.copyOf(size)
-
-    private companion object {
-        const val INITIAL_BYTES = 64
-        const val MAX_VARINT_BYTES = 10
-    }
-}
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/OutcomeIntake.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/OutcomeIntake.kt
@@ -28,7 +28,6 @@
 
     private val seen = TreeMap<Long, MutableSet<SummaryKey>>()
     private var forgottenBeforeMillis = Long.MIN_VALUE
-    private val scratch = LatencyHistogram()
     private val warmUps = HashMap<NodeId, WarmUp>()
 
     /** Holds the outcomes that have not been tested yet. */
@@ -58,79 +57,73 @@
         if (!isWellFormed(summary) || summary.endsAtMillis < forgottenBeforeMillis) return
         val repeats = seen.getOrPut(summary.endsAtMillis) { HashSet() }
         if (!repeats.add(SummaryKey(summary.node, summary.route, isNew))) return
-        val latency = decodeLatency(summary)
-        if (isNew) addNew(summary, latency) else addOld(summary, latency)
+        if (isNew) addNew(summary) else addOld(summary)
     }
 
     private fun isWellFormed(summary: OutcomeSummary) =
         summary.calls >= 0 && summary.shed >= 0 && summary.errors in 0..summary.calls
 
-    /** A histogram that cannot be decoded, or counts more values than calls, costs its latencies but not the errors. */
-    private fun decodeLatency(summary: OutcomeSummary): LatencyHistogram? =
+    /**
+     * Counts slow calls. A histogram that cannot be decoded, or holds more values than calls, costs the summary its
+     * latencies but not its errors.
+     */
+    private fun countLatencies(
+        summary: OutcomeSummary,
+        reference: RouteReference?,
+    ): SideCounts? {
+        val slowMicros = reference?.slowMicros ?: Long.MAX_VALUE
+        val verySlowMicros = reference?.verySlowMicros ?: Long.MAX_VALUE
+        var timed = 0L
+        var slow = 0L
+        var verySlow = 0L
         try {
-            scratch.load(summary.latency)
-            scratch.takeIf { it.count <= summary.calls }
+            LatencyHistogram.forEachEncoded(summary.latency) { micros, occurrences ->
+                timed += occurrences
+                if (micros > slowMicros) slow += occurrences
+                if (micros > verySlowMicros) verySlow += occurrences
+            }
         } catch (_: IllegalArgumentException) {
-            null
+            return null
         }
+        return if (timed <= summary.calls) SideCounts(summary.calls, summary.errors, timed, slow, verySlow) else null
+    }
 
-    private fun addOld(
-        summary: OutcomeSummary,
-        latency: LatencyHistogram?,
-    ) {
+    private fun addOld(summary: OutcomeSummary) {
         val reference = references.getOrPut(summary.route) { RouteReference() }
-        val window = windows.at(CellKey(summary.route, summary.failureDomain), summary.endsAtMillis)
-        val counts = countSide(summary, latency, reference)
-        window.old += counts
+        val timed = countLatencies(summary, reference)
+        val counts = timed.takeIf { reference.slowMicros != null } ?: SideCounts(summary.calls, summary.errors)
+        windows.at(CellKey(summary.route, summary.failureDomain), summary.endsAtMillis).old += counts
         reference.noteLatest(windows.endOf(summary.endsAtMillis), counts)
-        reference.add(summary.calls, summary.errors, summary.latency.takeIf { latency != null })
+        reference.add(summary.calls, summary.errors, summary.latency.takeIf { timed != null })
     }
 
-    private fun addNew(
-        summary: OutcomeSummary,
-        latency: LatencyHistogram?,
-    ) {
+    private fun addNew(summary: OutcomeSummary) {
         newCalls.merge(summary.route, summary.calls, Long::plus)
         newErrors += summary.errors
         if (summary.calls > 0) newDomains += summary.failureDomain
-        val warm = takeWarmLatency(summary, latency)
+        val counts = countNew(summary)
+        timedCalls += counts.timed
         val window = windows.at(CellKey(summary.route, summary.failureDomain), summary.endsAtMillis)
-        val counts = countSide(summary, warm, references[summary.route])
         window.new += counts
         window.newForReference += counts
-        timedCalls += counts.timed
         if (summary.shed > policy.shedShare * (summary.calls + summary.shed)) window.sheds = true
     }
 
-    private fun takeWarmLatency(
-        summary: OutcomeSummary,
-        latency: LatencyHistogram?,
-    ): LatencyHistogram? {
+    /** Latencies count once the target is warm and the limits of slow calls are known. */
+    private fun countNew(summary: OutcomeSummary): SideCounts {
+        val reference = references[summary.route]
+        val isWarm = noteWarmUp(summary)
+        val counts = if (isWarm && reference?.slowMicros != null) countLatencies(summary, reference) else null
+        return counts ?: SideCounts(summary.calls, summary.errors)
+    }
+
+    private fun noteWarmUp(summary: OutcomeSummary): Boolean {
         val warmUp = warmUps.getOrPut(summary.node) { WarmUp(summary.endsAtMillis) }
         val isWarm =
             warmUp.calls >= policy.warmUpCalls &&
                 summary.endsAtMillis - warmUp.firstEndsAtMillis >= policy.warmUpMillis
         warmUp.calls += summary.calls
-        return latency.takeIf { isWarm }
-    }
-
-    private fun countSide(
-        summary: OutcomeSummary,
-        latency: LatencyHistogram?,
-        reference: RouteReference?,
-    ): SideCounts {
-        val slowMicros = reference?.slowMicros
-        val verySlowMicros = reference?.verySlowMicros
-        if (latency == null || slowMicros == null || verySlowMicros == null) {
-            return SideCounts(summary.calls, summary.errors)
-        }
-        return SideCounts(
-            calls = summary.calls,
-            errors = summary.errors,
-            timed = latency.count,
-            slow = latency.countAbove(slowMicros),
-            verySlow = latency.countAbove(verySlowMicros),
-        )
+        return isWarm
     }
 
     /** Recomputes the limits of slow calls and returns the routes whose limits changed. */
