--- a/bench/src/main/kotlin/dev/baobabhollow/bench/moves/SimulatedTraffic.kt
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/moves/SimulatedTraffic.kt
@@ -24,13 +24,7 @@
         latencies[timed++] = micros
     }
 
-    /** Returns the encoded latencies; all tallies share [scratch], which stays in the processor's cache. */
-    fun encode(scratch: LatencyHistogram): ByteArray {
-        if (timed == 0) return ByteArray(0)
-        scratch.reset()
-        for (index in 0 until timed) scratch.record(latencies[index])
-        return scratch.encode()
-    }
+    fun encode(): ByteArray = LatencyHistogram.encodeAll(latencies, timed)
 
     fun reset() {
         timed = 0
@@ -72,7 +66,6 @@
     private val countsLatency: Boolean,
     private val random: RandomGenerator,
 ) {
-    private val scratch = LatencyHistogram()
     private val routes = traffic.routes.map { RouteId(it.name) }
     private val targets =
         (0 until domains).flatMap { domain ->
@@ -214,7 +207,7 @@
                 tally.calls,
                 tally.errors,
                 tally.shed,
-                tally.encode(scratch),
+                tally.encode(),
             )
         tally.reset()
         return summary
--- a/model/src/main/kotlin/dev/baobabhollow/model/LatencyHistogram.kt
+++ b/model/src/main/kotlin/dev/baobabhollow/model/LatencyHistogram.kt
@@ -71,6 +71,30 @@
         /** Decodes what [encode] returned. Throws [IllegalArgumentException] for anything else. */
         fun decode(bytes: ByteArray): LatencyHistogram = LatencyHistogram().apply { mergeEncoded(bytes) }
 
+        private val STEPS = newHistogram()
+
+        /** Returns what [encode] returns after recording the first [count] of [micros], which are sorted in place. */
+        fun encodeAll(
+            micros: LongArray,
+            count: Int,
+        ): ByteArray {
+            micros.sort(0, count)
+            val out = VarintWriter()
+            var previous = 0L
+            var index = 0
+            while (index < count) {
+                val value = stepOf(micros[index])
+                val first = index
+                while (index < count && stepOf(micros[index]) == value) index++
+                out.write(value - previous)
+                out.write((index - first).toLong())
+                previous = value
+            }
+            return out.toByteArray()
+        }
+
+        private fun stepOf(micros: Long) = STEPS.lowestEquivalentValue(micros.coerceIn(1, MAX_MICROS))
+
         /**
          * Visits the latencies in [bytes] that [encode] returned, in ascending order, each as the lowest value of its
          * resolution step with the number of its occurrences. Throws [IllegalArgumentException] for anything else.
