--- /dev/null
+++ b/node/src/main/kotlin/dev/baobabhollow/node/NodeSettings.kt
@@ -0,0 +1,66 @@
+package dev.baobabhollow.node
+
+import dev.baobabhollow.model.FailureDomainId
+import dev.baobabhollow.model.NodeId
+import dev.baobabhollow.model.ReleaseId
+import dev.baobabhollow.model.ServiceId
+import kotlinx.serialization.Serializable
+
+/**
+ * Holds the settings of one node as its settings file states them.
+ *
+ * [seeds] are control endpoints of other nodes; [platformLog] is the endpoint of the platform log. Without a [target] the
+ * node only passes calls on. [faultInjection] enables `POST /faults` at the operator port.
+ */
+@Serializable
+data class NodeSettings(
+    val node: NodeId,
+    val failureDomain: FailureDomainId,
+    val addresses: AddressSettings,
+    val seeds: List<EndpointText> = emptyList(),
+    val platformLog: EndpointText,
+    val target: TargetSettings? = null,
+    val limits: LimitSettings = LimitSettings(),
+    val faultInjection: Boolean = false,
+)
+
+/**
+ * Names the endpoints that a node listens on: [callers] for calls from clients, [peerCalls] for calls from other nodes,
+ * [control] (UDP and TCP) for the control plane and [operator] for operators.
+ */
+@Serializable
+data class AddressSettings(
+    val callers: EndpointText,
+    val peerCalls: EndpointText,
+    val control: EndpointText,
+    val operator: EndpointText,
+)
+
+/**
+ * Describes the target beside the node. A node sends it at most [slots] calls at once over at most [connections]
+ * connections and asks [healthPath] for its health, or nothing if that is null.
+ */
+@Serializable
+data class TargetSettings(
+    val endpoint: EndpointText,
+    val service: ServiceId,
+    val release: ReleaseId,
+    val slots: Int,
+    val connections: Int,
+    val healthPath: String? = "/health",
+    val healthIntervalMillis: Long = 1_000,
+    val healthTimeoutMillis: Long = 500,
+)
+
+/**
+ * Bounds what a node takes on. [drainMillis] is the time that calls in flight get at a planned stop, and
+ * [verdictWaitMillis] the longest wait of `GET /verdicts`.
+ */
+@Serializable
+data class LimitSettings(
+    val callerConnections: Int = 4_096,
+    val eventLoopThreads: Int = 1,
+    val drainMillis: Long = 30_000,
+    val verdictWaitMillis: Long = 30_000,
+    val operatorBodyBytes: Int = 65_536,
+)
--- /dev/null
+++ b/node/src/main/kotlin/dev/baobabhollow/node/OperatorDocuments.kt
@@ -0,0 +1,120 @@
+package dev.baobabhollow.node
+
+import dev.baobabhollow.model.FailureDomainId
+import dev.baobabhollow.model.MemberId
+import dev.baobabhollow.model.ModelJson
+import dev.baobabhollow.model.MoveId
+import dev.baobabhollow.model.MovePriority
+import dev.baobabhollow.model.MoveState
+import dev.baobabhollow.model.NodeId
+import dev.baobabhollow.model.NodeRecord
+import dev.baobabhollow.model.NodeStatus
+import dev.baobabhollow.model.PatchVerdict
+import dev.baobabhollow.model.RouteId
+import dev.baobabhollow.model.ServiceId
+import dev.baobabhollow.model.ServiceObjective
+import dev.baobabhollow.model.TargetRecord
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+
+/** Encodes operator documents with all their fields. Readers ignore fields that they do not know. */
+val OperatorJson: Json =
+    Json(ModelJson) {
+        encodeDefaults = true
+        ignoreUnknownKeys = true
+    }
+
+/** Answers `/status`. */
+@Serializable
+data class StatusDocument(
+    val node: NodeId,
+    val failureDomain: FailureDomainId,
+    val status: NodeStatus,
+    val ready: Boolean,
+    val version: Long,
+    val offset: Long,
+    val contentHash: String,
+    val target: TargetRecord?,
+    val liveNodes: Int,
+    val heldMoves: List<MoveId>,
+    val upSinceMillis: Long,
+    val nowMillis: Long,
+)
+
+/** Answers `/versions`: the last verdicts and when this node put versions in force. */
+@Serializable
+data class VersionsDocument(
+    val node: NodeId,
+    val version: Long,
+    val verdicts: List<PatchVerdict>,
+    val inForce: List<VersionInForce>,
+)
+
+/** Says since when, in epoch milliseconds of the node's clock, a node routes by [version]. */
+@Serializable
+data class VersionInForce(
+    val version: Long,
+    val sinceMillis: Long,
+)
+
+/** Answers `/moves`. */
+@Serializable
+data class MovesDocument(
+    val node: NodeId,
+    val moves: List<MoveDocument>,
+)
+
+/** Shows a move with the priority of its member. [held] tells whether this node sends the new release no calls. */
+@Serializable
+data class MoveDocument(
+    val move: MoveId,
+    val member: MemberId?,
+    val movePriority: MovePriority?,
+    val held: Boolean,
+    val state: MoveState,
+)
+
+/** Answers `/nodes`. */
+@Serializable
+data class NodesDocument(
+    val self: NodeId,
+    val nodes: List<NodeRecord>,
+)
+
+/** Answers `/burn` with counts of calls that the node's own target answered. */
+@Serializable
+data class BurnDocument(
+    val node: NodeId,
+    val failureDomain: FailureDomainId,
+    val nowMillis: Long,
+    val bucketMillis: Long,
+    val routes: List<RouteBurn>,
+)
+
+/** Holds the counts of one route, oldest bucket first. */
+@Serializable
+data class RouteBurn(
+    val member: MemberId?,
+    val service: ServiceId,
+    val route: RouteId,
+    val objective: ServiceObjective?,
+    val buckets: List<BurnBucket>,
+)
+
+/** Counts the calls of one span of time from [startMillis]; [slow] ones exceeded the objective's latency. */
+@Serializable
+data class BurnBucket(
+    val startMillis: Long,
+    val calls: Long = 0,
+    val errors: Long = 0,
+    val slow: Long = 0,
+    val shed: Long = 0,
+)
+
+/** Carries an error of the operator port. */
+@Serializable
+data class ErrorDocument(
+    val error: String,
+)
+
+internal fun errorBody(message: String): String = OperatorJson.encodeToString(ErrorDocument(message))
--- /dev/null
+++ b/node/src/main/kotlin/dev/baobabhollow/node/OperatorServer.kt
@@ -0,0 +1,129 @@
+package dev.baobabhollow.node
+
+import dev.baobabhollow.model.Endpoint
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.nio.NioIoHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.timeout.ReadTimeoutHandler
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+
+/** Holds a request at the operator port. */
+data class OperatorRequest(
+    val method: String,
+    val path: String,
+    val body: String,
+)
+
+/** Holds an answer of the operator port. */
+data class OperatorResponse(
+    val status: Int,
+    val body: String,
+    val contentType: String = "application/json",
+)
+
+/**
+ * Serves the operator port at [endpoint] with one thread. [handle] must not block; an answer that has to wait completes its
+ * future later. Requests with bodies above [maxBodyBytes] are refused with status 413.
+ */
+class OperatorServer(
+    private val endpoint: Endpoint,
+    private val maxBodyBytes: Int,
+    private val handle: (OperatorRequest) -> CompletableFuture<OperatorResponse>,
+) : AutoCloseable {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private var channel: Channel? = null
+
+    /** Binds the port. Throws when it is taken. */
+    fun start() {
+        val initializer =
+            object : ChannelInitializer<SocketChannel>() {
+                override fun initChannel(channel: SocketChannel) {
+                    channel.pipeline().addLast(
+                        ReadTimeoutHandler(IDLE_SECONDS, TimeUnit.SECONDS),
+                        HttpServerCodec(),
+                        HttpObjectAggregator(maxBodyBytes),
+                        RequestHandler(),
+                    )
+                }
+            }
+        channel =
+            ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel::class.java)
+                .childHandler(initializer)
+                .bind(endpoint.host, endpoint.port)
+                .sync()
+                .channel()
+    }
+
+    /** Closes the port and all connections. */
+    override fun close() {
+        channel?.close()?.syncUninterruptibly()
+        group.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS).awaitUninterruptibly(CLOSE_MILLIS)
+    }
+
+    private inner class RequestHandler : SimpleChannelInboundHandler<FullHttpRequest>() {
+        override fun channelRead0(
+            context: ChannelHandlerContext,
+            request: FullHttpRequest,
+        ) {
+            val keepAlive = HttpUtil.isKeepAlive(request)
+            val parsed =
+                OperatorRequest(
+                    request.method().name(),
+                    request.uri().substringBefore('?'),
+                    request.content().toString(Charsets.UTF_8),
+                )
+            val answer = runCatching { handle(parsed) }.getOrElse { CompletableFuture.failedFuture(it) }
+            answer.whenComplete { response, failure ->
+                write(context, response ?: OperatorResponse(INTERNAL_ERROR, errorBody(failure.toString())), keepAlive)
+            }
+        }
+
+        @Deprecated("Deprecated by Netty for other handlers")
+        override fun exceptionCaught(
+            context: ChannelHandlerContext,
+            cause: Throwable,
+        ) {
+            context.close()
+        }
+    }
+
+    private fun write(
+        context: ChannelHandlerContext,
+        response: OperatorResponse,
+        keepAlive: Boolean,
+    ) {
+        val body = Unpooled.wrappedBuffer(response.body.encodeToByteArray())
+        val status = HttpResponseStatus.valueOf(response.status)
+        val message = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
+        message.headers()[HttpHeaderNames.CONTENT_TYPE] = response.contentType
+        message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+        HttpUtil.setKeepAlive(message, keepAlive)
+        val sent = context.writeAndFlush(message)
+        if (!keepAlive) sent.addListener(ChannelFutureListener.CLOSE)
+    }
+
+    private companion object {
+        const val INTERNAL_ERROR = 500
+        const val IDLE_SECONDS = 120L
+        const val CLOSE_MILLIS = 500L
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/dev/baobabhollow/node/SettingsValidation.kt
@@ -0,0 +1,65 @@
+package dev.baobabhollow.node
+
+import dev.baobabhollow.model.ConfigError
+
+private val IDENTIFIER = Regex("[a-z0-9][a-z0-9._-]{0,63}")
+
+/** Returns every error in the values of [settings] that its JSON shape does not exclude. */
+fun validate(settings: NodeSettings): List<ConfigError> =
+    buildList {
+        addAll(identifier("$.node", settings.node.value))
+        addAll(identifier("$.failureDomain", settings.failureDomain.value))
+        addAll(addressErrors(settings.addresses))
+        settings.target?.let { addAll(targetErrors(it)) }
+        addAll(limitErrors(settings.limits))
+    }
+
+private fun identifier(
+    path: String,
+    value: String,
+): List<ConfigError> {
+    if (IDENTIFIER.matches(value)) return emptyList()
+    return listOf(ConfigError(path, "\"$value\"", "1 to 64 characters of a-z, 0-9, '.', '_', '-'"))
+}
+
+private fun addressErrors(addresses: AddressSettings): List<ConfigError> {
+    val named =
+        listOf(
+            "callers" to addresses.callers,
+            "peerCalls" to addresses.peerCalls,
+            "control" to addresses.control,
+            "operator" to addresses.operator,
+        )
+    return named.flatMapIndexed { index, (name, endpoint) ->
+        val other = named.take(index).firstOrNull { it.second == endpoint } ?: return@flatMapIndexed emptyList()
+        listOf(ConfigError("$.addresses.$name", "\"$endpoint\"", "an endpoint other than that of ${other.first}"))
+    }
+}
+
+private fun targetErrors(target: TargetSettings): List<ConfigError> =
+    buildList {
+        addAll(identifier("$.target.service", target.service.value))
+        addAll(identifier("$.target.release", target.release.value))
+        addAll(atLeastOne("$.target.slots", target.slots.toLong()))
+        addAll(atLeastOne("$.target.connections", target.connections.toLong()))
+        addAll(atLeastOne("$.target.healthIntervalMillis", target.healthIntervalMillis))
+        addAll(atLeastOne("$.target.healthTimeoutMillis", target.healthTimeoutMillis))
+        val path = target.healthPath
+        if (path != null && !path.startsWith("/")) {
+            add(ConfigError("$.target.healthPath", "\"$path\"", "a path that starts with '/'"))
+        }
+    }
+
+private fun limitErrors(limits: LimitSettings): List<ConfigError> =
+    listOf(
+        "callerConnections" to limits.callerConnections.toLong(),
+        "eventLoopThreads" to limits.eventLoopThreads.toLong(),
+        "drainMillis" to limits.drainMillis,
+        "verdictWaitMillis" to limits.verdictWaitMillis,
+        "operatorBodyBytes" to limits.operatorBodyBytes.toLong(),
+    ).flatMap { (name, value) -> atLeastOne("$.limits.$name", value) }
+
+private fun atLeastOne(
+    path: String,
+    value: Long,
+): List<ConfigError> = if (value >= 1) emptyList() else listOf(ConfigError(path, "$value", "at least 1"))
--- /dev/null
+++ b/node/src/main/kotlin/dev/baobabhollow/node/VerdictBook.kt
@@ -0,0 +1,55 @@
+package dev.baobabhollow.node
+
+import dev.baobabhollow.model.ConfigurationState
+import dev.baobabhollow.model.PatchVerdict
+import dev.baobabhollow.model.WriterId
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+
+/**
+ * Answers requests for the verdict on a submitted patch, and lets them wait until the record has been folded. Safe for use
+ * by several threads. At most [maxWaiting] requests wait at a time.
+ */
+internal class VerdictBook(
+    private val maxWaiting: Int = 256,
+) {
+    private data class PatchKey(
+        val writer: WriterId,
+        val sequence: Long,
+    )
+
+    private val waiting = ConcurrentHashMap<CompletableFuture<PatchVerdict?>, PatchKey>()
+
+    @Volatile
+    private var verdicts: Map<PatchKey, PatchVerdict> = emptyMap()
+
+    /** Takes over the verdicts of [state] and answers the requests that wait for them. */
+    fun update(state: ConfigurationState) {
+        verdicts = state.verdicts.associateBy { PatchKey(it.writer, it.sequence) }
+        waiting.keys.forEach(::answer)
+    }
+
+    /** Completes with the verdict, or with null when none is known after [waitMillis]. */
+    fun find(
+        writer: WriterId,
+        sequence: Long,
+        waitMillis: Long,
+    ): CompletableFuture<PatchVerdict?> {
+        val key = PatchKey(writer, sequence)
+        verdicts[key]?.let { return CompletableFuture.completedFuture(it) }
+        if (waiting.size >= maxWaiting) return CompletableFuture.completedFuture(null)
+        val future = CompletableFuture<PatchVerdict?>()
+        waiting[future] = key
+        future.completeOnTimeout(null, waitMillis, TimeUnit.MILLISECONDS)
+        future.whenComplete { _, _ -> waiting.remove(future) }
+        // Looks again, because an update between the first look and the registration would be missed.
+        answer(future)
+        return future
+    }
+
+    private fun answer(future: CompletableFuture<PatchVerdict?>) {
+        val key = waiting[future] ?: return
+        verdicts[key]?.let { future.complete(it) }
+    }
+}
--- /dev/null
+++ b/node/src/test/kotlin/dev/baobabhollow/node/SettingsSpec.kt
@@ -0,0 +1,92 @@
+package dev.baobabhollow.node
+
+import com.github.michaelbull.result.unwrap
+import com.github.michaelbull.result.unwrapError
+import dev.baobabhollow.model.ConfigError
+import dev.baobabhollow.model.Endpoint
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
+import io.kotest.matchers.shouldBe
+
+private val GOOD =
+    """
+    {"node":"v1","failureDomain":"a","platformLog":"127.0.0.1:7000","seeds":["127.0.0.1:7103"],
+     "addresses":{"callers":"127.0.0.1:7101","peerCalls":"127.0.0.1:7102","control":"127.0.0.1:7103",
+                  "operator":"127.0.0.1:7104"},
+     "target":{"endpoint":"127.0.0.1:7200","service":"vitrina","release":"7","slots":12,"connections":100}}
+    """.trimIndent()
+
+class SettingsSpec :
+    DescribeSpec({
+        describe("node settings") {
+            it("accepts complete settings, so that a check never stands in the way of a good file") {
+                val settings = parseSettings(GOOD).unwrap()
+                settings.addresses.callers shouldBe Endpoint("127.0.0.1", 7101)
+                settings.faultInjection shouldBe false
+            }
+
+            it("reports every error at once with its path, not only the first") {
+                val bad =
+                    """
+                    {"node":"v1","platformLog":"log.example:7000","seeds":["127.0.0.1:99999"],
+                     "addresses":{"callers":"127.0.0.1:7101","peerCalls":7102,"control":"127.0.0.1:7103",
+                                  "operator":"127.0.0.1:7104"},
+                     "target":{"endpoint":"127.0.0.1:7200","service":"vitrina","release":"7","slots":"12",
+                               "conections":100}}
+                    """.trimIndent()
+                parseSettings(bad).unwrapError().map { it.path } shouldContainExactlyInAnyOrder
+                    listOf(
+                        "$.failureDomain",
+                        "$.platformLog",
+                        "$.seeds[0]",
+                        "$.addresses.peerCalls",
+                        "$.target.slots",
+                        "$.target.conections",
+                        "$.target.connections",
+                    )
+            }
+
+            it("names the nearest known key for a misspelt one") {
+                val errors = parseSettings(GOOD.replace("\"seeds\"", "\"seds\"")).unwrapError()
+                errors shouldBe listOf(ConfigError("$.seds", "unknown key \"seds\"", "\"seeds\" or no such key"))
+            }
+
+            it("checks values that have the right shape but no meaning") {
+                val bad = GOOD.replace("\"slots\":12", "\"slots\":0").replace("127.0.0.1:7102", "127.0.0.1:7101")
+                parseSettings(bad).unwrapError().map { it.toString() } shouldContainExactlyInAnyOrder
+                    listOf(
+                        "$.target.slots: found 0, expected at least 1",
+                        "$.addresses.peerCalls: found \"127.0.0.1:7101\", " +
+                            "expected an endpoint other than that of callers",
+                    )
+            }
+
+            it("reports text that is not JSON instead of throwing") {
+                parseSettings("{").unwrapError().single().expected shouldBe "JSON"
+            }
+        }
+
+        describe("recognition of files") {
+            it("checks a patch as a patch and names the nearest change type") {
+                val (kind, errors) = checkDocument("""{"changes":[{"type":"putRoutes","route":"r"}]}""")
+                kind shouldBe DocumentKind.PATCH
+                errors.single().path shouldBe "$.changes[0].type"
+                errors.single().expected.endsWith("the nearest is \"putRoute\"") shouldBe true
+            }
+
+            it("checks a mesh configuration by its own rules") {
+                val text =
+                    """{"members":{},"services":{"s":{"member":"m","releases":["1"],"initialRelease":"1"}},"routes":{}}"""
+                val (kind, errors) = checkDocument(text)
+                kind shouldBe DocumentKind.MESH
+                errors.map { it.path } shouldBe listOf("$.services.s.member")
+            }
+
+            it("recognises settings") {
+                val (kind, errors) = checkDocument(GOOD)
+                kind shouldBe DocumentKind.SETTINGS
+                errors.shouldBeEmpty()
+            }
+        }
+    })
--- /dev/null
+++ b/node/src/test/kotlin/dev/baobabhollow/node/TargetHealthSpec.kt
@@ -0,0 +1,36 @@
+package dev.baobabhollow.node
+
+import dev.baobabhollow.model.TargetStatus
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+
+class TargetHealthSpec :
+    DescribeSpec({
+        describe("health of the local target") {
+            it("does not flap on one failed answer") {
+                val health = TargetHealth()
+                health.observe(HealthSample(HealthAnswer.FAILED)) shouldBe TargetStatus.SERVING
+                health.observe(HealthSample(HealthAnswer.HEALTHY)) shouldBe TargetStatus.SERVING
+                health.observe(HealthSample(HealthAnswer.FAILED)) shouldBe TargetStatus.SERVING
+                health.observe(HealthSample(HealthAnswer.FAILED)) shouldBe TargetStatus.SERVING
+            }
+
+            it("takes out a target that keeps failing and brings it back only after several good answers") {
+                val health = TargetHealth()
+                repeat(3) { health.observe(HealthSample(HealthAnswer.FAILED)) }
+                health.status shouldBe TargetStatus.DOWN
+                health.observe(HealthSample(HealthAnswer.HEALTHY)) shouldBe TargetStatus.DOWN
+                health.observe(HealthSample(HealthAnswer.HEALTHY)) shouldBe TargetStatus.SERVING
+            }
+
+            it("does not believe a misleading health endpoint against answered calls") {
+                val health = TargetHealth()
+                repeat(10) { health.observe(HealthSample(HealthAnswer.FAILED, answered = 20, failed = 1)) }
+                health.status shouldBe TargetStatus.SERVING
+            }
+
+            it("believes at once a target that says that it drains") {
+                TargetHealth().observe(HealthSample(HealthAnswer.DRAINING, answered = 9)) shouldBe TargetStatus.DRAINING
+            }
+        }
+    })
