--- /dev/null
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/Commands.kt
@@ -0,0 +1,38 @@
+package dev.baobabhollow.cli
+
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ExperimentalCli
+
+private const val PROGRAM = "baobabhollow"
+
+/** Runs the command that [args] name, writes to [output] and returns the exit code. */
+@OptIn(ExperimentalCli::class)
+fun runCommand(
+    args: Array<String>,
+    output: Output,
+): Int {
+    val parser = ArgParser(PROGRAM, strictSubcommandOptionsOrder = true)
+    throwOnTermination(parser)
+    parser.subcommands(*commands(output))
+    return try {
+        parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
+        EXIT_USAGE
+    } catch (exit: CommandExit) {
+        val usage = if (args.isEmpty()) EXIT_USAGE else exit.code
+        exit.message?.let { (if (usage == EXIT_DONE) output.out else output.err).println(it.trimEnd()) }
+        usage
+    }
+}
+
+private fun commands(output: Output): Array<Command> =
+    arrayOf(
+        NodeCommand(output),
+        ValidateCommand(output),
+        PublishCommand(output),
+        StatusCommand(output),
+        VersionsCommand(output),
+        MovesCommand(output),
+        CommandGroup("report", "Reports", output, BurnCommand(output)),
+        CommandGroup("standin", "Stand-ins for tests", output, StandInLogCommand(output), StandInTargetCommand(output)),
+        DemoCommand(output),
+    )
--- /dev/null
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/demo/DemoFleet.kt
@@ -0,0 +1,113 @@
+package dev.baobabhollow.cli.demo
+
+import dev.baobabhollow.cli.Child
+import dev.baobabhollow.cli.Children
+import dev.baobabhollow.cli.FreePorts
+import dev.baobabhollow.model.Endpoint
+import dev.baobabhollow.model.FailureDomainId
+import dev.baobabhollow.model.MemberId
+import dev.baobabhollow.model.ModelJson
+import dev.baobabhollow.model.NodeId
+import dev.baobabhollow.node.AddressSettings
+import dev.baobabhollow.node.MovePolicySettings
+import dev.baobabhollow.node.NodeSettings
+import dev.baobabhollow.node.TargetSettings
+import dev.baobabhollow.standins.StandInTargetOptions
+import dev.baobabhollow.standins.TargetFaults
+import kotlinx.serialization.encodeToString
+import java.io.File
+
+private const val HOST = "127.0.0.1"
+private const val START_MILLIS = 20_000L
+
+/** Describes a node of the demo and the target beside it. */
+internal class DemoNode(
+    val settings: NodeSettings,
+    val target: Endpoint,
+    val child: Child,
+) {
+    val operator: Endpoint get() = settings.addresses.operator
+}
+
+/** Starts a stand-in platform log, targets and nodes as processes of their own. */
+internal class DemoFleet(
+    private val children: Children,
+    private val directory: File,
+    private val policies: Map<MemberId, MovePolicySettings>,
+) {
+    private val ports = FreePorts()
+    private val addresses = HashMap<String, AddressSettings>()
+
+    /** Starts the platform log and returns its endpoint. */
+    fun startLog(): Endpoint = children.start("log", Children.STANDIN_FLAGS, "standin", "log").awaitEndpoint(START_MILLIS)
+
+    /** Starts [plans] with their targets. The first node of each failure domain is a seed for all. */
+    fun startNodes(
+        plans: List<NodePlan>,
+        log: Endpoint,
+    ): List<DemoNode> {
+        plans.forEach { addresses[it.name] = newAddresses() }
+        val targets = plans.associateWith { startTarget(it) }
+        val seeds = plans.distinctBy { it.domain }.map { addresses.getValue(it.name).control }
+        return targets.map { (plan, target) -> startNode(plan, target.awaitEndpoint(START_MILLIS), seeds, log) }
+    }
+
+    private fun startTarget(plan: NodePlan): Child {
+        val options =
+            StandInTargetOptions(
+                name = plan.name,
+                service = plan.service,
+                release = plan.release,
+                slots = plan.slots,
+                connections = plan.connections,
+                serviceJitterPermille = 200,
+                faults = TargetFaults(errorPermille = plan.errorPermille),
+            )
+        val text = ModelJson.encodeToString(options)
+        return children.start("target-${plan.name}", Children.STANDIN_FLAGS, "standin", "target", "--options", text)
+    }
+
+    private fun startNode(
+        plan: NodePlan,
+        target: Endpoint,
+        seeds: List<Endpoint>,
+        log: Endpoint,
+    ): DemoNode {
+        val settings =
+            NodeSettings(
+                node = NodeId(plan.name),
+                failureDomain = FailureDomainId(plan.domain),
+                addresses = addresses.getValue(plan.name),
+                seeds = seeds,
+                platformLog = log,
+                target =
+                    TargetSettings(
+                        endpoint = target,
+                        service = dev.baobabhollow.model.ServiceId(plan.service),
+                        release = dev.baobabhollow.model.ReleaseId(plan.release),
+                        slots = plan.slots,
+                        connections = plan.connections,
+                    ),
+                members = policies,
+            )
+        val file = File(directory, "${plan.name}.json")
+        file.writeText(ModelJson.encodeToString(settings))
+        val child = children.start(plan.name, Children.nodeFlags(), "node", "--settings", file.path)
+        return DemoNode(settings, target, child)
+    }
+
+    private fun newAddresses() = AddressSettings(endpoint(), endpoint(), endpoint(), endpoint())
+
+    private fun endpoint() = Endpoint(HOST, ports.next())
+}
+
+/** States a node of a demo, its failure domain and the target beside it. */
+internal data class NodePlan(
+    val name: String,
+    val domain: String,
+    val service: String,
+    val release: String,
+    val slots: Int = 12,
+    val connections: Int = 100,
+    val errorPermille: Int = 0,
+)
--- /dev/null
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/demo/LoadGenerator.kt
@@ -0,0 +1,168 @@
+package dev.baobabhollow.cli.demo
+
+import dev.baobabhollow.model.Endpoint
+import dev.baobabhollow.node.OperatorJson
+import dev.baobabhollow.standins.TargetAnswer
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.time.Duration
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.Executors
+import java.util.concurrent.ThreadFactory
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.locks.LockSupport
+import kotlin.random.Random
+
+/** Names what became of a call as its caller saw it. */
+internal enum class CallEnd {
+    /** The whole answer to this call arrived. */
+    SERVED,
+
+    /** The target answered with an error of its own. */
+    TARGET_ERROR,
+
+    /** A node refused the call as not run. */
+    NOT_RUN,
+
+    /** A node reported that the call may have run. */
+    UNKNOWN,
+
+    /** The answer belongs to another call or is damaged. */
+    WRONG,
+
+    /** No whole answer arrived. */
+    MISSING,
+}
+
+/** Describes a finished call. [release] is that of the answering target if known. */
+internal data class CallRecord(
+    val id: String,
+    val route: LoadRoute,
+    val sentAtMillis: Long,
+    val micros: Long,
+    val end: CallEnd,
+    val release: String?,
+    val detail: String = "",
+)
+
+/**
+ * Sends calls at a fixed rate whether or not earlier ones have ended, to [entries] in turn, and checks that each answer
+ * belongs to its request.
+ */
+internal class LoadGenerator(
+    private val entries: List<Endpoint>,
+    private val routes: List<LoadRoute>,
+    private val callsPerSecond: Int,
+) {
+    private val threads =
+        Executors.newFixedThreadPool(2, ThreadFactory { Thread(it, "load-answers").apply { isDaemon = true } })
+    private val http =
+        HttpClient
+            .newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .executor(threads)
+            .connectTimeout(TIMEOUT)
+            .build()
+    private val random = Random(SEED)
+    private val done = ConcurrentLinkedQueue<CallRecord>()
+    private val inFlight = AtomicInteger()
+    private val sender = Thread({ send() }, "load").apply { isDaemon = true }
+
+    @Volatile
+    private var running = true
+
+    /** Calls that have ended so far. */
+    val records: List<CallRecord> get() = done.toList()
+
+    fun start() = sender.start()
+
+    /** Stops sending and waits for the calls in flight. */
+    fun stop() {
+        running = false
+        sender.join()
+        val deadline = System.nanoTime() + TIMEOUT.toNanos()
+        while (inFlight.get() > 0 && System.nanoTime() < deadline) LockSupport.parkNanos(WAIT_NANOS)
+        threads.shutdownNow()
+    }
+
+    private fun send() {
+        val start = System.nanoTime()
+        var number = 0L
+        while (running) {
+            val dueNanos = start + number * TimeUnit.SECONDS.toNanos(1) / callsPerSecond
+            val left = dueNanos - System.nanoTime()
+            if (left > 0) {
+                LockSupport.parkNanos(left)
+                continue
+            }
+            call(number++)
+        }
+    }
+
+    private fun call(number: Long) {
+        val id = "demo-$number"
+        val route = drawRoute()
+        val builder =
+            HttpRequest
+                .newBuilder(URI("http://${entries[(number % entries.size).toInt()]}${route.path}"))
+                .timeout(TIMEOUT)
+                .header("x-request-id", id)
+        if (route.isOnce) builder.POST(HttpRequest.BodyPublishers.ofString("body of $id"))
+        val sentAtMillis = System.currentTimeMillis()
+        val startNanos = System.nanoTime()
+        inFlight.incrementAndGet()
+        http.sendAsync(builder.build(), HttpResponse.BodyHandlers.ofString()).whenComplete { response, failure ->
+            val micros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - startNanos)
+            val (end, release, detail) = if (response == null) missing(failure) else judge(id, route, response)
+            done += CallRecord(id, route, sentAtMillis, micros, end, release, detail)
+            inFlight.decrementAndGet()
+        }
+    }
+
+    private fun missing(failure: Throwable) = Triple(CallEnd.MISSING, null, failure.toString())
+
+    private fun judge(
+        id: String,
+        route: LoadRoute,
+        response: HttpResponse<String>,
+    ): Triple<CallEnd, String?, String> {
+        val release = response.headers().firstValue("x-baobabhollow-release").orElse(null)
+        val reason = response.headers().firstValue("x-baobabhollow-reason").orElse("")
+        val outcome = response.headers().firstValue("x-baobabhollow-outcome").orElse(null)
+        return when {
+            outcome == "not-run" -> Triple(CallEnd.NOT_RUN, release, "${response.statusCode()} $reason")
+            outcome != null -> Triple(CallEnd.UNKNOWN, release, "${response.statusCode()} $reason")
+            response.statusCode() >= SERVER_ERROR -> Triple(CallEnd.TARGET_ERROR, release, "${response.statusCode()}")
+            isOwn(id, route, response.body()) -> Triple(CallEnd.SERVED, release, "")
+            else -> Triple(CallEnd.WRONG, release, "${response.statusCode()} ${response.body().take(SHOWN)}")
+        }
+    }
+
+    private fun isOwn(
+        id: String,
+        route: LoadRoute,
+        body: String,
+    ): Boolean {
+        val answer = runCatching { OperatorJson.decodeFromString<TargetAnswer>(body) }.getOrNull() ?: return false
+        return answer.requestId == id && answer.service == route.service && answer.path == route.path
+    }
+
+    private fun drawRoute(): LoadRoute {
+        var draw = random.nextInt(routes.sumOf { it.percent })
+        return routes.first { route ->
+            draw -= route.percent
+            draw < 0
+        }
+    }
+
+    private companion object {
+        const val SEED = 7
+        const val SERVER_ERROR = 500
+        const val SHOWN = 120
+        const val WAIT_NANOS = 5_000_000L
+        val TIMEOUT: Duration = Duration.ofSeconds(5)
+    }
+}
--- a/node/src/main/kotlin/dev/baobabhollow/node/OperatorDocuments.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/OperatorDocuments.kt
@@ -24,11 +24,19 @@
         ignoreUnknownKeys = true
     }
 
-/** Answers `/status`. */
+/** Answers `/readyz`, with status 503 while something is [lacking]. */
+@Serializable
+data class ReadinessDocument(
+    val ready: Boolean,
+    val lacking: List<String>,
+)
+
+/** Answers `/status`. [version] is the one that the node routes by. */
 @Serializable
 data class StatusDocument(
     val node: NodeId,
     val failureDomain: FailureDomainId,
+    val incarnation: Long,
     val status: NodeStatus,
     val ready: Boolean,
     val version: Long,
@@ -48,6 +56,15 @@
     val version: Long,
     val verdicts: List<PatchVerdict>,
     val inForce: List<VersionInForce>,
+    val members: List<MemberDocument>,
+)
+
+/** Shows a member of the current version. */
+@Serializable
+data class MemberDocument(
+    val member: MemberId,
+    val name: String,
+    val movePriority: MovePriority,
 )
 
 /** Says since when, in epoch milliseconds of the node's clock, a node routes by [version]. */
@@ -81,7 +98,7 @@
     val nodes: List<NodeRecord>,
 )
 
-/** Answers `/burn` with counts of calls that the node's own target answered. */
+/** Answers `/burn` with counts of the calls that callers made at this node. */
 @Serializable
 data class BurnDocument(
     val node: NodeId,
@@ -108,7 +125,6 @@
     val calls: Long = 0,
     val errors: Long = 0,
     val slow: Long = 0,
-    val shed: Long = 0,
 )
 
 /** Carries an error of the operator port. */
