--- a/cli/src/main/kotlin/dev/baobabhollow/cli/BurnPage.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/BurnPage.kt
@@ -37,7 +37,11 @@
             }
             body {
                 h1 { +"Service-level burn" }
-                p { +"At ${Instant.ofEpochMilli(report.nowMillis)}. A burn rate of 1 uses up the error budget exactly." }
+                p {
+                    +"At ${Instant.ofEpochMilli(
+                        report.nowMillis,
+                    )}. A burn rate of 1 uses up the error budget exactly."
+                }
                 p { +"Counted by ${report.nodesAsked - report.nodesMissing.size} of ${report.nodesAsked} nodes." }
                 ul { report.nodesMissing.forEach { li { +"missing: $it" } } }
                 members(report)
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/BurnText.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/BurnText.kt
@@ -4,14 +4,32 @@
 
 private const val MILLIS_PER_MINUTE = 60_000.0
 private val HEADINGS =
-    listOf("MEMBER", "PRIORITY", "SERVICE", "ROUTE", "OBJECTIVE", "CALLS", "BAD", "BUDGET LEFT", "SHORT", "LONG", "COINCIDES")
+    listOf(
+        "MEMBER",
+        "PRIORITY",
+        "SERVICE",
+        "ROUTE",
+        "OBJECTIVE",
+        "CALLS",
+        "BAD",
+        "BUDGET LEFT",
+        "SHORT",
+        "LONG",
+        "COINCIDES",
+    )
 
 /** Lays out [report] for a person: two lines for each route, one for each objective. */
 internal fun burnText(report: BurnReport): String {
     val windows = "burn rate over ${minutes(report.shortMillis)} (short) and ${minutes(report.longMillis)} (long)"
     val heading = "$windows, counted by ${report.nodesAsked - report.nodesMissing.size} of ${report.nodesAsked} nodes"
     val missing = report.nodesMissing.map { "missing: $it" }
-    val rows = report.routes.flatMap { listOf(cells(it, it.availability, "available"), cells(it, it.latency, fast(it))) }
+    val rows =
+        report.routes.flatMap {
+            listOf(
+                cells(it, it.availability, "available"),
+                cells(it, it.latency, fast(it)),
+            )
+        }
     return (listOf(heading) + missing + table(HEADINGS, rows)).joinToString("\n")
 }
 
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/MovesCommand.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/MovesCommand.kt
@@ -23,7 +23,20 @@
 }
 
 private val HEADINGS =
-    listOf("MOVE", "MEMBER", "PRIORITY", "SERVICE", "FROM", "TO", "PHASE", "SHARE", "COMPLETE BY", "NEW", "OLD", "REASON")
+    listOf(
+        "MOVE",
+        "MEMBER",
+        "PRIORITY",
+        "SERVICE",
+        "FROM",
+        "TO",
+        "PHASE",
+        "SHARE",
+        "COMPLETE BY",
+        "NEW",
+        "OLD",
+        "REASON",
+    )
 private const val PERMILLE_PER_PERCENT = 10.0
 
 /** Lays out [moves] for a person. */
--- /dev/null
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/NodeCommand.kt
@@ -0,0 +1,45 @@
+package dev.baobabhollow.cli
+
+import com.github.michaelbull.result.getOrElse
+import dev.baobabhollow.node.LOG_NODE_PROPERTY
+import dev.baobabhollow.node.Node
+import dev.baobabhollow.node.parseSettings
+import kotlinx.cli.ArgType
+import kotlinx.cli.required
+import java.net.BindException
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.atomic.AtomicBoolean
+
+/** Runs a node until it gets SIGTERM or SIGINT. */
+internal class NodeCommand(
+    output: Output,
+) : Command("node", "Runs a node until SIGTERM, which lets calls in flight finish", output) {
+    private val settings by option(ArgType.String, description = "settings file").required()
+
+    override fun run(): Int {
+        val parsed =
+            parseSettings(readFile(settings)).getOrElse { errors ->
+                fail("$settings: ${errors.size} errors\n" + errors.joinToString("\n") { "  $it" })
+            }
+        System.setProperty(LOG_NODE_PROPERTY, parsed.node.value)
+        val node = Node(parsed)
+        try {
+            node.start()
+        } catch (e: BindException) {
+            fail("cannot bind a port of $settings: ${e.message}")
+        }
+        stopAtShutdown(node)
+        CountDownLatch(1).await()
+        return EXIT_DONE
+    }
+
+    /** Ends the process with code 0 after a graceful stop; by itself the JVM would report the signal as its code. */
+    private fun stopAtShutdown(node: Node) {
+        val stopped = AtomicBoolean()
+        val hook = {
+            val left = if (stopped.compareAndSet(false, true)) node.stop() else 0
+            Runtime.getRuntime().halt(if (left == 0) EXIT_DONE else EXIT_FAILED)
+        }
+        Runtime.getRuntime().addShutdownHook(Thread(hook, "stop"))
+    }
+}
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/OperatorClient.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/OperatorClient.kt
@@ -58,7 +58,8 @@
         writer: WriterId,
         sequence: Long,
         waitMillis: Long,
-    ): Result<PatchVerdict, OperatorError> = get(node, "/verdicts/$writer/$sequence", PatchVerdict.serializer(), waitMillis)
+    ): Result<PatchVerdict, OperatorError> =
+        get(node, "/verdicts/$writer/$sequence", PatchVerdict.serializer(), waitMillis)
 
     /** Returns the body of [path]. */
     fun text(
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/Options.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/Options.kt
@@ -28,7 +28,8 @@
         value: kotlin.String,
         name: kotlin.String,
     ): Long =
-        value.toLongOrNull() ?: throw ParsingException("Option $name is expected to be a whole number. $value is provided.")
+        value.toLongOrNull()
+            ?: throw ParsingException("Option $name is expected to be a whole number. $value is provided.")
 }
 
 /** Returns the text of [file] or ends the command as failed. */
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/PublishCommand.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/PublishCommand.kt
@@ -27,9 +27,10 @@
         .default(30)
 
     override fun run(): Int {
-        val changes = parsePatch(readFile(patch)).getOrElse { errors ->
-            fail("$patch: not published, ${errors.size} errors\n" + errors.joinToString("\n") { "  $it" })
-        }
+        val changes =
+            parsePatch(readFile(patch)).getOrElse { errors ->
+                fail("$patch: not published, ${errors.size} errors\n" + errors.joinToString("\n") { "  $it" })
+            }
         val outcome = HttpPlatformLog(log).use { publish(it, changes) }
         print(render(outcome))
         val result = (outcome as? PublishOutcome.Judged)?.verdict?.result as? PatchResult.Accepted ?: return EXIT_FAILED
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/StatusCommand.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/StatusCommand.kt
@@ -50,7 +50,8 @@
         return listOf(
             line.record.node.value,
             line.record.failureDomain.value,
-            line.record.status.name.lowercase(),
+            line.record.status.name
+                .lowercase(),
             line.status?.ready?.let { if (it) "ready" else "not ready" } ?: "no answer",
             line.status?.version?.toString() ?: "-",
             target?.let { "${it.service}@${it.release}" } ?: "-",
@@ -60,6 +61,7 @@
     }
 
     private companion object {
-        val HEADINGS = listOf("NODE", "DOMAIN", "STATUS", "READY", "VERSION", "TARGET", "TARGET STATUS", "OPERATOR PORT")
+        val HEADINGS =
+            listOf("NODE", "DOMAIN", "STATUS", "READY", "VERSION", "TARGET", "TARGET STATUS", "OPERATOR PORT")
     }
 }
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/demo/DemoFleet.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/demo/DemoFleet.kt
@@ -39,7 +39,8 @@
     private val addresses = HashMap<String, AddressSettings>()
 
     /** Starts the platform log and returns its endpoint. */
-    fun startLog(): Endpoint = children.start("log", Children.STANDIN_FLAGS, "standin", "log").awaitEndpoint(START_MILLIS)
+    fun startLog(): Endpoint =
+        children.start("log", Children.STANDIN_FLAGS, "standin", "log").awaitEndpoint(START_MILLIS)
 
     /** Starts [plans] with their targets. The first node of each failure domain is a seed for all. */
     fun startNodes(
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/demo/DemoPlan.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/demo/DemoPlan.kt
@@ -75,7 +75,8 @@
             ),
         )
 
-    val patch = Patch(listOf(Change.PutRoute(RouteId("stock"), RouteConfig(VITRINA, "/vitrina/stock", timeoutMillis = 1_000))))
+    val patch =
+        Patch(listOf(Change.PutRoute(RouteId("stock"), RouteConfig(VITRINA, "/vitrina/stock", timeoutMillis = 1_000))))
 
     /** Names a service that does not exist, so that it must be refused as a whole. */
     val brokenPatch =
--- /dev/null
+++ b/node/src/main/kotlin/dev/baobabhollow/node/MemberJudge.kt
@@ -0,0 +1,53 @@
+package dev.baobabhollow.node
+
+import dev.baobabhollow.model.ConfigurationState
+import dev.baobabhollow.model.MemberId
+import dev.baobabhollow.model.MoveId
+import dev.baobabhollow.model.MoveState
+import dev.baobabhollow.model.OutcomeSummary
+import dev.baobabhollow.moves.MoveDecision
+import dev.baobabhollow.moves.MoveJudge
+import dev.baobabhollow.moves.moveJudge
+
+/**
+ * Judges [move] by the policy of the member that owns its service. The control plane may ask for a judge just before it
+ * publishes the state that holds the member; until then the judge holds.
+ */
+internal class MemberJudge(
+    private val move: MoveId,
+    private val state: () -> ConfigurationState,
+    private val policies: Map<MemberId, MovePolicySettings>,
+) : MoveJudge {
+    private val early = ArrayDeque<OutcomeSummary>()
+    private var judge: MoveJudge? = null
+
+    override fun observe(summary: OutcomeSummary) {
+        judge?.let { return it.observe(summary) }
+        early.addLast(summary)
+        if (early.size > MAX_EARLY) early.removeFirst()
+    }
+
+    override fun decide(
+        move: MoveState,
+        nowMillis: Long,
+    ): MoveDecision {
+        val known =
+            judge ?: open(move) ?: return MoveDecision.Hold("the member of ${move.plan.service} is not known yet")
+        return known.decide(move, nowMillis)
+    }
+
+    private fun open(plan: MoveState): MoveJudge? {
+        val mesh = state().mesh
+        val member = mesh.services[plan.plan.service]?.member ?: return null
+        val priority = mesh.members[member]?.movePriority ?: return null
+        val opened = moveJudge(move, (policies[member] ?: MovePolicySettings()).policy(priority))
+        early.forEach(opened::observe)
+        early.clear()
+        judge = opened
+        return opened
+    }
+
+    private companion object {
+        const val MAX_EARLY = 1_024
+    }
+}
--- a/node/src/main/kotlin/dev/baobabhollow/node/NodeSettings.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/NodeSettings.kt
@@ -1,6 +1,7 @@
 package dev.baobabhollow.node
 
 import dev.baobabhollow.model.FailureDomainId
+import dev.baobabhollow.model.MemberId
 import dev.baobabhollow.model.NodeId
 import dev.baobabhollow.model.ReleaseId
 import dev.baobabhollow.model.ServiceId
@@ -10,7 +11,8 @@
  * Holds the settings of one node as its settings file states them.
  *
  * [seeds] are control endpoints of other nodes; [platformLog] is the endpoint of the platform log. Without a [target] the
- * node only passes calls on. [faultInjection] enables `POST /faults` at the operator port.
+ * node only passes calls on. [members] replaces values of the members' move policies. [faultInjection] enables
+ * `POST /faults` at the operator port.
  */
 @Serializable
 data class NodeSettings(
@@ -20,6 +22,7 @@
     val seeds: List<EndpointText> = emptyList(),
     val platformLog: EndpointText,
     val target: TargetSettings? = null,
+    val members: Map<MemberId, MovePolicySettings> = emptyMap(),
     val limits: LimitSettings = LimitSettings(),
     val faultInjection: Boolean = false,
 )
@@ -58,7 +61,6 @@
  */
 @Serializable
 data class LimitSettings(
-    val callerConnections: Int = 4_096,
     val eventLoopThreads: Int = 1,
     val drainMillis: Long = 30_000,
     val verdictWaitMillis: Long = 30_000,
--- a/node/src/main/kotlin/dev/baobabhollow/node/OperatorRoutes.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/OperatorRoutes.kt
@@ -77,7 +77,10 @@
 
     private fun versions(): VersionsDocument {
         val now = facts()
-        val members = now.state.mesh.members.map { (id, member) -> MemberDocument(id, member.name, member.movePriority) }
+        val members =
+            now.state.mesh.members.map { (id, member) ->
+                MemberDocument(id, member.name, member.movePriority)
+            }
         return VersionsDocument(settings.node, now.state.version, now.state.verdicts, versionTimes.list(), members)
     }
 
@@ -85,14 +88,23 @@
         val now = facts()
         val moves =
             now.state.moves.map { (id, state) ->
-                val member = now.state.mesh.services[state.plan.service]?.member
-                val priority = now.state.mesh.members[member]?.movePriority
+                val member =
+                    now.state.mesh.services[state.plan.service]
+                        ?.member
+                val priority =
+                    now.state.mesh.members[member]
+                        ?.movePriority
                 MoveDocument(id, member, priority, id in now.heldMoves, state)
             }
         return MovesDocument(settings.node, moves)
     }
 
-    private fun nodes(now: NodeFacts) = NodesDocument(now.view.self, now.view.nodes.values.sortedBy { it.node })
+    private fun nodes(now: NodeFacts) =
+        NodesDocument(
+            now.view.self,
+            now.view.nodes.values
+                .sortedBy { it.node },
+        )
 
     private fun burn(): BurnDocument {
         val routes = burn.routes(facts().state.mesh)
@@ -106,7 +118,13 @@
             return CompletableFuture.completedFuture(error(BAD_REQUEST, "use $VERDICTS{writer}/{sequence}"))
         }
         return verdicts.find(WriterId(parts[0]), sequence, settings.limits.verdictWaitMillis).thenApply { found ->
-            if (found == null) error(NOT_FOUND, "no verdict yet") else OperatorResponse(OK, OperatorJson.encodeToString(found))
+            if (found ==
+                null
+            ) {
+                error(NOT_FOUND, "no verdict yet")
+            } else {
+                OperatorResponse(OK, OperatorJson.encodeToString(found))
+            }
         }
     }
 
--- a/node/src/main/kotlin/dev/baobabhollow/node/SettingsValidation.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/SettingsValidation.kt
@@ -11,6 +11,7 @@
         addAll(identifier("$.failureDomain", settings.failureDomain.value))
         addAll(addressErrors(settings.addresses))
         settings.target?.let { addAll(targetErrors(it)) }
+        addAll(policyErrors(settings))
         addAll(limitErrors(settings.limits))
     }
 
@@ -52,7 +53,6 @@
 
 private fun limitErrors(limits: LimitSettings): List<ConfigError> =
     listOf(
-        "callerConnections" to limits.callerConnections.toLong(),
         "eventLoopThreads" to limits.eventLoopThreads.toLong(),
         "drainMillis" to limits.drainMillis,
         "verdictWaitMillis" to limits.verdictWaitMillis,
--- /dev/null
+++ b/node/src/main/kotlin/dev/baobabhollow/node/TargetDuty.kt
@@ -0,0 +1,49 @@
+package dev.baobabhollow.node
+
+import dev.baobabhollow.model.OutcomeSummary
+import dev.baobabhollow.model.TargetStatus
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.LongAdder
+
+/** Checks the health of [target] on a thread of its own and reports changes of its status to [announce]. */
+internal class TargetDuty(
+    private val target: TargetSettings,
+    private val announce: (TargetStatus) -> Boolean,
+) : AutoCloseable {
+    private val health = TargetHealth()
+    private val answered = LongAdder()
+    private val failed = LongAdder()
+    private var announced = TargetStatus.SERVING
+    private val thread =
+        Executors.newSingleThreadScheduledExecutor {
+            Thread(it, "target-health").apply {
+                isDaemon =
+                    true
+            }
+        }
+
+    fun start() {
+        val period = target.healthIntervalMillis
+        thread.scheduleWithFixedDelay(::check, 0, period, TimeUnit.MILLISECONDS)
+    }
+
+    /** Counts real calls, which weigh more than what the health endpoint says. */
+    fun observe(summary: OutcomeSummary) {
+        answered.add(summary.calls - summary.errors - summary.shed)
+        failed.add(summary.errors)
+    }
+
+    override fun close() {
+        thread.shutdownNow()
+    }
+
+    private fun check() {
+        val sample = HealthSample(probeHealth(target), answered.sumThenReset(), failed.sumThenReset())
+        val status = health.observe(sample)
+        if (status == announced) return
+        // The announcement is repeated at the next check if the control plane's ring was full.
+        if (announce(status)) announced = status
+        EventLog.write("target_status_changed", "status" to status, "healthAnswer" to sample.answer)
+    }
+}
--- a/node/src/test/kotlin/dev/baobabhollow/node/BurnCountersSpec.kt
+++ b/node/src/test/kotlin/dev/baobabhollow/node/BurnCountersSpec.kt
@@ -25,12 +25,17 @@
                 counters.sample(count(5, errors = 1, slow = 2), 14_999)
                 counters.sample(count(9, errors = 2, slow = 2), 15_000)
                 counters.buckets() shouldBe
-                    listOf(BurnBucket(10_000, calls = 5, errors = 1, slow = 2), BurnBucket(15_000, calls = 4, errors = 1))
+                    listOf(
+                        BurnBucket(10_000, calls = 5, errors = 1, slow = 2),
+                        BurnBucket(15_000, calls = 4, errors = 1),
+                    )
             }
 
             it("keep a bounded number of buckets, so that memory does not grow with uptime") {
                 val counters = BurnCounters()
-                repeat(BurnCounters.KEPT_BUCKETS + 10) { counters.sample(count(it + 1L), it * BurnCounters.BUCKET_MILLIS) }
+                repeat(
+                    BurnCounters.KEPT_BUCKETS + 10,
+                ) { counters.sample(count(it + 1L), it * BurnCounters.BUCKET_MILLIS) }
                 counters.buckets().size shouldBe BurnCounters.KEPT_BUCKETS
                 counters.buckets().first().startMillis shouldBe 10 * BurnCounters.BUCKET_MILLIS
             }
