--- a/cli/src/main/kotlin/dev/baobabhollow/cli/Commands.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/Commands.kt
@@ -34,5 +34,4 @@
         MovesCommand(output),
         CommandGroup("report", "Reports", output, BurnCommand(output)),
         CommandGroup("standin", "Stand-ins for tests", output, StandInLogCommand(output), StandInTargetCommand(output)),
-        DemoCommand(output),
     )
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/NodeCommand.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/NodeCommand.kt
@@ -6,7 +6,7 @@
 import dev.baobabhollow.node.parseSettings
 import kotlinx.cli.ArgType
 import kotlinx.cli.required
-import java.net.BindException
+import java.io.IOException
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.atomic.AtomicBoolean
 
@@ -25,8 +25,8 @@
         val node = Node(parsed)
         try {
             node.start()
-        } catch (e: BindException) {
-            fail("cannot bind a port of $settings: ${e.message}")
+        } catch (e: IOException) {
+            fail("cannot start the node of $settings: $e")
         }
         stopAtShutdown(node)
         CountDownLatch(1).await()
--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -35,7 +35,7 @@
     private val verdicts = VerdictBook()
     private val versionTimes = VersionTimes()
     private val burn = BurnCounters()
-    private val faults = FaultInjection(::takeFaults)
+    private val faults: FaultInjection = FaultInjection { takeFaults(it) }
     private val tableLock = Any()
     private val log = HttpPlatformLog(settings.platformLog)
     private val control = controlPlane(registry)
@@ -148,11 +148,12 @@
     }
 
     /** Reads the state inside the lock, so that the table never goes back to an earlier one. */
-    private fun takeFaults(faults: InjectedFaults) =
+    private fun takeFaults(changed: InjectedFaults) {
         synchronized(tableLock) {
-            EventLog.write("faults_changed", "faults" to faults)
+            EventLog.write("faults_changed", "faults" to changed)
             takeChange(control.state, control.view, control.heldMoves)
         }
+    }
 
     private fun passOnCounts() {
         val server = proxy ?: return
