--- a/cli/src/main/kotlin/dev/baobabhollow/cli/Commands.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/Commands.kt
@@ -1,5 +1,6 @@
 package dev.baobabhollow.cli
 
+import dev.baobabhollow.cli.demo.DemoCommand
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
 
@@ -34,4 +35,5 @@
         MovesCommand(output),
         CommandGroup("report", "Reports", output, BurnCommand(output)),
         CommandGroup("standin", "Stand-ins for tests", output, StandInLogCommand(output), StandInTargetCommand(output)),
+        DemoCommand(output),
     )
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/demo/LoadGenerator.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/demo/LoadGenerator.kt
@@ -53,7 +53,7 @@
  * belongs to its request.
  */
 internal class LoadGenerator(
-    private val entries: List<Endpoint>,
+    entries: List<Endpoint>,
     private val routes: List<LoadRoute>,
     private val callsPerSecond: Int,
 ) {
@@ -74,6 +74,10 @@
     @Volatile
     private var running = true
 
+    /** Callers' ports that get calls in turn. */
+    @Volatile
+    var entries: List<Endpoint> = entries
+
     /** Calls that have ended so far. */
     val records: List<CallRecord> get() = done.toList()
 
@@ -105,9 +109,10 @@
     private fun call(number: Long) {
         val id = "demo-$number"
         val route = drawRoute()
+        val current = entries
         val builder =
             HttpRequest
-                .newBuilder(URI("http://${entries[(number % entries.size).toInt()]}${route.path}"))
+                .newBuilder(URI("http://${current[(number % current.size).toInt()]}${route.path}"))
                 .timeout(TIMEOUT)
                 .header("x-request-id", id)
         if (route.isOnce) builder.POST(HttpRequest.BodyPublishers.ofString("body of $id"))
