--- a/cli/src/main/kotlin/dev/baobabhollow/cli/demo/DemoText.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/demo/DemoText.kt
@@ -19,7 +19,7 @@
                 "control bytes per node and second" to "mean ${whole(bytes.average())}, most ${whole(bytes.max())}",
                 "calls served" to "${ends.getValue(CallEnd.SERVED)} of ${result.calls.size}",
                 "calls with a wrong or missing answer" to "$wrong",
-                "calls refused as not run" to "${ends.getValue(CallEnd.NOT_RUN)}",
+                "calls refused as not run" to "${ends.getValue(CallEnd.NOT_RUN)}${reasons(result)}",
                 "calls that may have run (unknown)" to "${ends.getValue(CallEnd.UNKNOWN)}",
                 "errors of the bad release" to "${ends.getValue(CallEnd.TARGET_ERROR)}",
                 "share of calls that the bad release got" to "$bad of $all (${percent(share(bad, all))})",
@@ -36,6 +36,13 @@
     return "Promises\n" + table(listOf("RESULT", "PROMISE", "FIGURES"), rows)
 }
 
+private fun reasons(result: DemoResult): String {
+    val refused = result.calls.filter { it.end == CallEnd.NOT_RUN }
+    if (refused.isEmpty()) return ""
+    val counts = refused.groupingBy { it.detail }.eachCount()
+    return " (" + counts.entries.joinToString(", ") { "${it.value} with ${it.key}" } + ")"
+}
+
 private fun share(
     part: Long,
     whole: Long,
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/demo/LoadGenerator.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/demo/LoadGenerator.kt
@@ -168,6 +168,8 @@
         const val SERVER_ERROR = 500
         const val SHOWN = 120
         const val WAIT_NANOS = 5_000_000L
-        val TIMEOUT: Duration = Duration.ofSeconds(5)
+
+        /** Exceeds the routes' timeout, so that a node reports a late call before its caller gives up. */
+        val TIMEOUT: Duration = Duration.ofSeconds(10)
     }
 }
