--- a/moves/src/main/kotlin/dev/baobabhollow/moves/FaultEvidence.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/FaultEvidence.kt
@@ -5,6 +5,7 @@
 import java.util.TreeMap
 import kotlin.math.exp
 import kotlin.math.ln
+import kotlin.math.max
 
 /** Names what is compared on a route. [nullShare] is the old release's share of hits where it is known by definition. */
 internal enum class Metric(
@@ -35,6 +36,12 @@
     val counts: PairedCounts,
 )
 
+/** Holds the logarithm of the combined e-value of all tests, and the strongest finding if the release is condemned. */
+internal data class Assessment(
+    val logEvidence: Double,
+    val fault: Finding?,
+)
+
 /**
  * Combines the tests of all routes and metrics of one move.
  *
@@ -53,6 +60,12 @@
         val unpaired = Metric.entries.associateWith { SequentialTest(it.alternatives) }
     }
 
+    private class Candidate(
+        val logEvidence: Double,
+        val finding: Finding,
+        val test: SequentialTest,
+    )
+
     private val tests = TreeMap<RouteId, RouteTests>()
     private val domains = HashSet<FailureDomainId>()
     private var invested = INITIAL_CAPITAL
@@ -80,17 +93,17 @@
         }
     }
 
-    /** Compares the new release in one cell with what the old release did earlier. */
+    /** Compares the new release in one cell, in the window that ends at [endMillis], with what the old release did. */
     fun compareWithReference(
         cell: CellKey,
         new: SideCounts,
+        endMillis: Long,
     ) {
         domains += cell.failureDomain
-        val reference = references[cell.route]
         for ((metric, test) in testsOf(cell.route).unpaired) {
             val counts = PairedCounts(metric.calls(new), metric.hits(new), 0, 0)
             if (counts.newCalls == 0L) continue
-            val nullShare = referenceShare(metric, reference)
+            val nullShare = referenceShare(metric, references[cell.route], endMillis)
             test.update(
                 cell.failureDomain,
                 counts,
@@ -99,25 +112,21 @@
         }
     }
 
-    /** The traffic of another time differs, so the limit is twice the old release's share plus a constant. */
+    /**
+     * The traffic of another time and domain differs, so the limit is twice the old release's share plus a constant, and
+     * not below an upper confidence limit of that share, on which the false alarm rate is conditional here. It also rises with the old release's hits in the latest windows, so that what harms both releases is no evidence.
+     */
     private fun referenceShare(
         metric: Metric,
         reference: RouteReference?,
-    ): Double =
-        when (metric) {
-            Metric.ERRORS -> {
-                val limit = reference?.errorLimit() ?: UNKNOWN_ERROR_SHARE
-                (REFERENCE_FACTOR * limit + REFERENCE_ERROR_MARGIN).coerceAtMost(MAX_NULL_SHARE)
-            }
-
-            Metric.SLOW -> {
-                REFERENCE_FACTOR * RouteReference.SLOW_SHARE
-            }
-
-            Metric.VERY_SLOW -> {
-                REFERENCE_FACTOR * RouteReference.VERY_SLOW_SHARE
-            }
-        }
+        endMillis: Long,
+    ): Double {
+        if (reference == null) return UNKNOWN_SHARE
+        val latest = reference.latestHitShare(metric, endMillis - LATEST_MILLIS, endMillis)
+        val margin = if (metric == Metric.ERRORS) REFERENCE_ERROR_MARGIN else 0.0
+        val limit = max(reference.hitLimit(metric), REFERENCE_FACTOR * max(reference.hitShare(metric), latest))
+        return (limit + margin).coerceAtMost(MAX_NULL_SHARE)
+    }
 
     private fun tolerance(metric: Metric) =
         if (metric == Metric.ERRORS) policy.errorOddsTolerance else policy.latencyOddsTolerance
@@ -136,33 +145,42 @@
         return (1 - EQUAL_WEIGHT) / (position.toDouble() * (position + 1))
     }
 
-    /** Returns the logarithm of the combined e-value of all tests. */
-    fun logEvidence(): Double = ln(candidates().sumOf { exp(it.first.coerceAtMost(MAX_LOG)) })
-
-    /** Returns the strongest finding if the release is condemned, else null. */
-    fun findFault(): Finding? {
-        val credible = candidates().filter { it.first > LEAST_LOG }.filter { isCredible(it.second, it.third) }
-        val sum = credible.sumOf { exp(it.first.coerceAtMost(MAX_LOG)) }
-        return if (sum >= 1 / policy.falseAlarmRate) credible.maxBy { it.first }.second else null
+    /** Weighs all tests by what they have seen so far. */
+    fun assess(): Assessment {
+        val all = candidates()
+        val credible = all.filter { it.logEvidence > LEAST_LOG && isCredible(it) }
+        val isCondemned = sumOf(credible) >= 1 / policy.falseAlarmRate
+        return Assessment(
+            logEvidence = ln(sumOf(all)),
+            fault = if (isCondemned) credible.maxBy { it.logEvidence }.finding else null,
+        )
     }
 
-    private fun candidates(): List<Triple<Double, Finding, SequentialTest>> =
+    private fun sumOf(candidates: List<Candidate>) = candidates.sumOf { exp(it.logEvidence.coerceAtMost(MAX_LOG)) }
+
+    private fun candidates(): List<Candidate> =
         tests.flatMap { (route, group) ->
             Metric.entries.flatMap { metric ->
-                listOf(true, false).map { isPaired ->
-                    val test = (if (isPaired) group.paired else group.unpaired).getValue(metric)
-                    val share = if (isPaired) PAIRED_WEIGHT else 1 - PAIRED_WEIGHT
-                    val logWeight = ln(group.weight * metric.weight * share)
-                    Triple(logWeight + test.logEvidence(), Finding(route, metric, isPaired, test.segment), test)
-                }
+                val pairedWeight = group.weight * metric.weight * PAIRED_WEIGHT
+                val unpairedWeight = group.weight * metric.weight * (1 - PAIRED_WEIGHT)
+                listOf(
+                    candidate(route, metric, true, group.paired.getValue(metric), pairedWeight),
+                    candidate(route, metric, false, group.unpaired.getValue(metric), unpairedWeight),
+                )
             }
         }
 
-    /** A difference must also matter, and must not come from one ill domain or target alone. */
-    private fun isCredible(
-        finding: Finding,
+    private fun candidate(
+        route: RouteId,
+        metric: Metric,
+        isPaired: Boolean,
         test: SequentialTest,
-    ): Boolean {
+        weight: Double,
+    ) = Candidate(ln(weight) + test.logEvidence(), Finding(route, metric, isPaired, test.segment), test)
+
+    /** A difference must also matter, and must not come from one ill domain or target alone. */
+    private fun isCredible(candidate: Candidate): Boolean {
+        val finding = candidate.finding
         val counts = finding.counts
         val share = counts.newHits.toDouble() / counts.newCalls.coerceAtLeast(1)
         val least =
@@ -171,7 +189,12 @@
                 Metric.SLOW -> REFERENCE_FACTOR * RouteReference.SLOW_SHARE
                 Metric.VERY_SLOW -> REFERENCE_FACTOR * RouteReference.VERY_SLOW_SHARE
             }
-        return share >= least && test.isSpread(if (finding.isPaired) 1 else domains.size / 2)
+        if (share < least) return false
+        return if (finding.isPaired) {
+            candidate.test.isSpread(strongest = 1, leastShare = 0.0)
+        } else {
+            candidate.test.isSpread(strongest = domains.size / 2, leastShare = REFERENCE_SPREAD_SHARE)
+        }
     }
 
     private companion object {
@@ -180,10 +203,14 @@
         const val PAIRED_WEIGHT = 0.7
         const val EQUAL_ROUTES = 8
         const val EQUAL_WEIGHT = 0.9
+
+        /** An ill domain gives the reference test ever more evidence, so the weaker domains must keep up. */
+        const val REFERENCE_SPREAD_SHARE = 0.2
         const val REFERENCE_FACTOR = 2.0
         const val REFERENCE_ERROR_MARGIN = 0.005
-        const val UNKNOWN_ERROR_SHARE = 0.05
-        const val MAX_NULL_SHARE = 0.6
+        const val UNKNOWN_SHARE = 0.1
+        const val LATEST_MILLIS = 5_000L
+        const val MAX_NULL_SHARE = 0.95
         const val MAX_LOG = 600.0
         const val LEAST_LOG = -3.0
     }
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/OutcomeIntake.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/OutcomeIntake.kt
@@ -28,6 +28,7 @@
 
     private val seen = TreeMap<Long, MutableSet<SummaryKey>>()
     private var forgottenBeforeMillis = Long.MIN_VALUE
+    private val scratch = LatencyHistogram()
     private val warmUps = HashMap<NodeId, WarmUp>()
 
     /** Holds the outcomes that have not been tested yet. */
@@ -43,6 +44,10 @@
     var newErrors = 0L
         private set
 
+    /** Calls of the new release whose latencies count. */
+    var timedCalls = 0L
+        private set
+
     /** Failure domains in which the new release had calls. */
     val newDomains = TreeSet<FailureDomainId>()
 
@@ -63,7 +68,8 @@
     /** A histogram that cannot be decoded, or counts more values than calls, costs its latencies but not the errors. */
     private fun decodeLatency(summary: OutcomeSummary): LatencyHistogram? =
         try {
-            LatencyHistogram.decode(summary.latency).takeIf { it.count <= summary.calls }
+            scratch.load(summary.latency)
+            scratch.takeIf { it.count <= summary.calls }
         } catch (_: IllegalArgumentException) {
             null
         }
@@ -74,8 +80,10 @@
     ) {
         val reference = references.getOrPut(summary.route) { RouteReference() }
         val window = windows.at(CellKey(summary.route, summary.failureDomain), summary.endsAtMillis)
-        window.old += countSide(summary, latency, reference)
-        reference.add(summary.calls, summary.errors, latency ?: LatencyHistogram())
+        val counts = countSide(summary, latency, reference)
+        window.old += counts
+        reference.noteLatest(windows.endOf(summary.endsAtMillis), counts)
+        reference.add(summary.calls, summary.errors, summary.latency.takeIf { latency != null })
     }
 
     private fun addNew(
@@ -87,7 +95,10 @@
         if (summary.calls > 0) newDomains += summary.failureDomain
         val warm = takeWarmLatency(summary, latency)
         val window = windows.at(CellKey(summary.route, summary.failureDomain), summary.endsAtMillis)
-        window.new += countSide(summary, warm, references[summary.route])
+        val counts = countSide(summary, warm, references[summary.route])
+        window.new += counts
+        window.newForReference += counts
+        timedCalls += counts.timed
         if (summary.shed > policy.shedShare * (summary.calls + summary.shed)) window.sheds = true
     }
 
