--- a/cli/src/main/kotlin/dev/baobabhollow/cli/demo/DemoFleet.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/demo/DemoFleet.kt
@@ -8,6 +8,8 @@
 import dev.baobabhollow.model.MemberId
 import dev.baobabhollow.model.ModelJson
 import dev.baobabhollow.model.NodeId
+import dev.baobabhollow.model.ReleaseId
+import dev.baobabhollow.model.ServiceId
 import dev.baobabhollow.node.AddressSettings
 import dev.baobabhollow.node.MovePolicySettings
 import dev.baobabhollow.node.NodeSettings
@@ -29,11 +31,12 @@
     val operator: Endpoint get() = settings.addresses.operator
 }
 
-/** Starts a stand-in platform log, targets and nodes as processes of their own. */
+/** Starts a stand-in platform log, targets and nodes as processes of their own. Targets take [serviceMillis] for a call. */
 internal class DemoFleet(
     private val children: Children,
     private val directory: File,
     private val policies: Map<MemberId, MovePolicySettings>,
+    private val serviceMillis: Double = 2.0,
 ) {
     private val ports = FreePorts()
     private val addresses = HashMap<String, AddressSettings>()
@@ -61,6 +64,7 @@
                 release = plan.release,
                 slots = plan.slots,
                 connections = plan.connections,
+                serviceMillis = serviceMillis,
                 serviceJitterPermille = 200,
                 faults = TargetFaults(errorPermille = plan.errorPermille),
             )
@@ -84,8 +88,8 @@
                 target =
                     TargetSettings(
                         endpoint = target,
-                        service = dev.baobabhollow.model.ServiceId(plan.service),
-                        release = dev.baobabhollow.model.ReleaseId(plan.release),
+                        service = ServiceId(plan.service),
+                        release = ReleaseId(plan.release),
                         slots = plan.slots,
                         connections = plan.connections,
                     ),
--- a/node/src/main/kotlin/dev/baobabhollow/node/DocumentCheck.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/DocumentCheck.kt
@@ -61,9 +61,11 @@
     return kind to result.getError().orEmpty()
 }
 
+/** Prefers the kind that knows most of the top-level keys and, of several, the one with the fewest errors. */
 private fun recognise(root: JsonElement?): DocumentKind {
     if (root !is JsonObject) return DocumentKind.SETTINGS
-    return DocumentKind.entries.maxBy { kind -> root.keys.count { it in kind.serializer.descriptor.elementNames } }
+    val fewestErrors = DocumentKind.entries.sortedBy { checkShape(root, it.serializer.descriptor).size }
+    return fewestErrors.maxBy { kind -> root.keys.count { it in kind.serializer.descriptor.elementNames } }
 }
 
 private fun <T> parseDocument(
