Report a call as unknown when an earlier attempt may have run

Cause: the outcome of a repeatable call was taken from its last attempt only. When the first target stopped after reading the request and the second could not be reached, the caller was told 'not run'. Ruled out: the owner's outcome, which was right for each attempt. Measured: RepeatedCallSpec fails before ('unknown' expected, 'not-run' found) and passes after; AtMostOnceSpec still passes.

--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallFailure.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallFailure.kt
@@ -61,6 +61,12 @@
     val outcome: CallOutcome,
     val reason: FailureReason,
 ) {
+    /** Returns this failure for a call of which another attempt may have run. */
+    fun mayHaveRun(): CallFailure {
+        val isRefusal = status == HttpResponseStatus.SERVICE_UNAVAILABLE
+        return copy(status = if (isRefusal) HttpResponseStatus.BAD_GATEWAY else status, outcome = CallOutcome.UNKNOWN)
+    }
+
     companion object {
         fun notRun(
             reason: FailureReason,
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
@@ -115,7 +115,11 @@
         val isRefused = head.status() == HttpResponseStatus.SERVICE_UNAVAILABLE
         if (isRefused && route.config.idempotent) {
             val next = nextTarget()
-            if (next != null) return retry(next, CallHealth.NEUTRAL)
+            if (next != null) {
+                // The target answered itself, and only it knows how far it came.
+                hasEarlierRun = true
+                return retry(next, CallHealth.NEUTRAL)
+            }
         }
         answerStatus = head.status()
         headers.removeHopByHop()
@@ -135,6 +139,7 @@
     override fun onFailure(failure: CallFailure) = onAttemptFailure(failure)
 
     private fun onAttemptFailure(failure: CallFailure) {
+        if (failure.outcome == CallOutcome.UNKNOWN) hasEarlierRun = true
         val next = if (isRepeatable(failure)) nextTarget() else null
         if (next != null) return retry(next, failure.reason.health)
         attempt?.abandon()
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/RelayExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/RelayExchange.kt
@@ -16,6 +16,9 @@
     AnswerListener {
     protected var attempt: Attempt? = null
     protected var isEnded = false
+
+    /** Tells whether an attempt that was given up may have run; later attempts cannot make the call "not run" again. */
+    protected var hasEarlierRun = false
     private var requestBytes = 0L
     private var timer: ScheduledFuture<*>? = null
 
@@ -83,9 +86,10 @@
         if (isEnded) return
         cancelAttempt()
         end()
-        node.metrics.countFailure(leg, failure)
-        onEnd(failure.status.code(), failure)
-        front.answerFailure(failure)
+        val known = if (hasEarlierRun) failure.mayHaveRun() else failure
+        node.metrics.countFailure(leg, known)
+        onEnd(known.status.code(), known)
+        front.answerFailure(known)
     }
 
     private fun failBeforeAnswer(reason: FailureReason) {
--- /dev/null
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/RepeatedCallSpec.kt
@@ -0,0 +1,35 @@
+package dev.baobabhollow.proxy
+
+import dev.baobabhollow.calls.RetryBudgetSettings
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import java.net.ServerSocket
+import java.util.concurrent.ConcurrentHashMap
+
+class RepeatedCallSpec :
+    DescribeSpec({
+        describe("a call whose first attempt may have run") {
+            // Guards against the claim "not run" that is true of the last attempt only.
+            it("has an unknown outcome even when its last attempt did not run") {
+                val seen = ConcurrentHashMap.newKeySet<String>()
+                val stopping =
+                    ScriptedTarget { wire ->
+                        val head = wire.read(withBody = false) ?: return@ScriptedTarget
+                        seen.add(head.path)
+                    }
+                val closedPort = ServerSocket(0).use { it.localPort }
+                val settings = ProxySettings(LOOPBACK_ANY, retries = RetryBudgetSettings(minimumPerSecond = 100))
+                TestMesh(listOf(stopping.port, closedPort), settings = settings).use { mesh ->
+                    repeat(40) {
+                        val path = "/stock/$it"
+                        val answer = call(mesh.port, path)
+                        answer shouldNotBe null
+                        if (path in seen) answer?.outcome shouldBe "unknown"
+                    }
+                }
+                seen.size shouldNotBe 0
+                stopping.close()
+            }
+        }
+    })
