Claim caller-made keys in the platform log

A request under a caller-made key must run at most once at whichever node it arrives. One thread batches claims into appends and reads its own append back; a claim without a known outcome is not run and is released later.

--- /dev/null
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/claims/ClaimPartitionLog.kt
@@ -0,0 +1,70 @@
+package dev.baobabhollow.proxy.claims
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import dev.baobabhollow.calls.ClaimBook
+import dev.baobabhollow.model.LogBatch
+import dev.baobabhollow.model.LogError
+import dev.baobabhollow.model.PlatformLog
+import dev.baobabhollow.model.StreamName
+
+/** Reads the claims stream of one partition into a book. Confined to the claims thread. */
+internal class ClaimPartitionLog(
+    partition: Int,
+    partitions: Int,
+    private val log: PlatformLog,
+    private val nowMillis: () -> Long,
+) {
+    /** Stream of the partition. */
+    val stream: StreamName = StreamName.claims(partition)
+
+    /** Claims read so far. */
+    val book = ClaimBook(partition, partitions)
+
+    /**
+     * Reads the stream through its present end. Returns true when the log keeps none of the records it has had, so that
+     * the book learns the log's time only from the next append.
+     */
+    fun catchUp(deadlineMillis: Long): Result<Boolean, LogError> {
+        while (true) {
+            val result = readOn(waitUntilMillis = nowMillis())
+            val batch = result.get() ?: return Err(result.getError() ?: TIMEOUT)
+            val atEnd = book.offset >= batch.nextOffset - 1
+            if (atEnd) return Ok(batch.earliestOffset > 0 && batch.earliestOffset == batch.nextOffset)
+            if (nowMillis() >= deadlineMillis) return Err(TIMEOUT)
+        }
+    }
+
+    /** Reads the stream through [offset], which has been appended. */
+    fun readThrough(
+        offset: Long,
+        deadlineMillis: Long,
+    ): Result<Unit, LogError> {
+        while (book.offset < offset) {
+            if (nowMillis() >= deadlineMillis) return Err(TIMEOUT)
+            readOn(deadlineMillis).getError()?.let { return Err(it) }
+        }
+        return Ok(Unit)
+    }
+
+    private fun readOn(waitUntilMillis: Long): Result<LogBatch, LogError> {
+        val result = log.read(stream, book.offset, MAX_RECORDS, waitUntilMillis)
+        val error = result.getError()
+        if (error is LogError.Trimmed) {
+            if (error.earliestOffset <= book.offset + 1) return Err(LogError.Malformed("nothing was trimmed: $error"))
+            book.skipTo(error.earliestOffset)
+            return log.read(stream, book.offset, MAX_RECORDS, waitUntilMillis).also(::addAll)
+        }
+        return result.also(::addAll)
+    }
+
+    private fun addAll(result: Result<LogBatch, LogError>) = result.get()?.entries?.forEach(book::add)
+
+    private companion object {
+        const val MAX_RECORDS = 1_000
+        val TIMEOUT = LogError.Unavailable("the claims stream could not be read in time")
+    }
+}
--- /dev/null
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/claims/ClaimRequest.kt
@@ -0,0 +1,34 @@
+package dev.baobabhollow.proxy.claims
+
+import dev.baobabhollow.model.KeyClaim
+
+/** Messages to the claims thread. */
+internal sealed interface ClaimsMessage
+
+/** Asks for a decision about [hold] before [deadlineMillis] (epoch milliseconds). */
+internal class ClaimRequest(
+    val hold: KeyHold,
+    val deadlineMillis: Long,
+    private val answer: (ClaimResult) -> Unit,
+) : ClaimsMessage {
+    /** Tells whether the call has its result. */
+    var isAnswered = false
+        private set
+
+    /** Gives the call its result, once. */
+    fun reply(result: ClaimResult) {
+        if (isAnswered) return
+        isAnswered = true
+        answer(result)
+    }
+}
+
+/** Asks for a record that gives up [hold]. */
+internal class ReleaseRequest(
+    val hold: KeyHold,
+) : ClaimsMessage
+
+/** Wakes the claims thread. */
+internal data object Wake : ClaimsMessage
+
+internal fun KeyHold.toClaim(release: Boolean) = KeyClaim(key.text, claimant, key.deadlineMillis, release)
--- /dev/null
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/claims/ClaimResult.kt
@@ -0,0 +1,27 @@
+package dev.baobabhollow.proxy.claims
+
+import dev.baobabhollow.calls.CallerKey
+
+/** Says whether a call may be handed over under its caller-made key. */
+sealed interface ClaimResult {
+    /** The call alone may run. If it is certainly not handed over after all, give [hold] to [LogClaims.release]. */
+    data class Won(
+        val hold: KeyHold,
+    ) : ClaimResult
+
+    /** [claimant] claimed the key before and may have run the request. */
+    data class Lost(
+        val claimant: String,
+    ) : ClaimResult
+
+    /** The claim could not be decided; this call must not run. */
+    data class NotRun(
+        val reason: String,
+    ) : ClaimResult
+}
+
+/** Names the claim that holds [key]. */
+data class KeyHold(
+    val key: CallerKey,
+    val claimant: String,
+)
--- /dev/null
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/claims/LogClaims.kt
@@ -0,0 +1,118 @@
+package dev.baobabhollow.proxy.claims
+
+import dev.baobabhollow.calls.CallerKey
+import dev.baobabhollow.model.PlatformLog
+import dev.baobabhollow.model.WriterId
+import org.jctools.queues.MpscBlockingConsumerArrayQueue
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.concurrent.thread
+
+/**
+ * Claims caller-made keys in the platform log before their requests are handed over.
+ *
+ * One thread batches the claims of many calls into an append for each partition, reads the partition through its own
+ * append and answers. [writer] must be unique for each process start, because it is part of the claimants' names.
+ */
+class LogClaims(
+    log: PlatformLog,
+    private val writer: WriterId,
+    private val settings: ClaimsSettings = ClaimsSettings(),
+    private val nowMillis: () -> Long = System::currentTimeMillis,
+) : AutoCloseable {
+    /** Counts since the start. */
+    val counters = ClaimCounters()
+
+    private val ring = MpscBlockingConsumerArrayQueue<ClaimsMessage>(settings.ringSize)
+    private val claimantNumbers = AtomicLong()
+    private val writerLoop = ClaimsWriter(log, writer, settings, counters, nowMillis)
+
+    @Volatile
+    private var closed = false
+
+    @Volatile
+    private var ended = false
+    private val worker = thread(name = "claims", isDaemon = true) { run() }
+
+    /**
+     * Claims [key] and calls [answer] exactly once, on the claims thread or, for an immediate refusal, on the caller's;
+     * [answer] must not block. After [deadlineMillis] (epoch milliseconds) the claim is not tried.
+     */
+    fun claim(
+        key: CallerKey,
+        deadlineMillis: Long,
+        answer: (ClaimResult) -> Unit,
+    ) {
+        val refusal =
+            when {
+                closed -> "claims are closed"
+                !writerLoop.isLogUp -> "the platform log is down"
+                else -> null
+            }
+        if (refusal != null) return refuse(refusal, answer)
+        val hold = KeyHold(key, "$writer:${claimantNumbers.incrementAndGet()}")
+        if (!ring.offer(
+                ClaimRequest(hold, deadlineMillis, answer),
+            )
+        ) {
+            return refuse("too many claims are waiting", answer)
+        }
+        if (ended) refuseWaiting()
+    }
+
+    /** Frees the key of a call that won and was certainly not handed over. */
+    fun release(hold: KeyHold) {
+        if (!ring.offer(ReleaseRequest(hold))) counters.lostReleaseAdder.increment()
+    }
+
+    /** Ends the thread after its current batch and answers all waiting calls "not run". */
+    override fun close() {
+        closed = true
+        ring.offer(Wake)
+        worker.join(settings.timeoutMillis * 2)
+    }
+
+    private fun refuse(
+        reason: String,
+        answer: (ClaimResult) -> Unit,
+    ) {
+        counters.refusedAdder.increment()
+        answer(ClaimResult.NotRun(reason))
+    }
+
+    private fun run() {
+        while (!closed) {
+            guard(emptyList()) { writerLoop.reachLog() }
+            val batch = collect()
+            guard(batch) { writerLoop.process(batch) }
+        }
+        ended = true
+        refuseWaiting()
+    }
+
+    private fun guard(
+        batch: List<ClaimsMessage>,
+        action: () -> Unit,
+    ) = try {
+        action()
+    } catch (failure: RuntimeException) {
+        writerLoop.recover(batch, failure)
+    }
+
+    // A call that passes the check of [closed] too late finds [ended] set after its message is in the ring.
+    @Synchronized
+    private fun refuseWaiting() = writerLoop.refuseAll(generateSequence { ring.poll() }.toList())
+
+    private fun collect(): List<ClaimsMessage> {
+        val first = ring.poll(writerLoop.idleMillis(), TimeUnit.MILLISECONDS) ?: return emptyList()
+        if (first == Wake) return emptyList()
+        val batch = mutableListOf(first)
+        val endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(settings.lingerMillis)
+        while (batch.size < settings.maxBatch) {
+            val leftNanos = endNanos - System.nanoTime()
+            val next = (if (leftNanos > 0) ring.poll(leftNanos, TimeUnit.NANOSECONDS) else ring.poll()) ?: break
+            batch += next
+        }
+        return batch
+    }
+}
--- /dev/null
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/claims/PendingReleases.kt
@@ -0,0 +1,35 @@
+package dev.baobabhollow.proxy.claims
+
+/** Keeps releases until the log confirms them or their keys expire. Confined to the claims thread. */
+internal class PendingReleases(
+    private val maxSize: Int,
+    private val onLoss: () -> Unit,
+) {
+    private val holds = LinkedHashSet<KeyHold>()
+
+    /** Tells whether nothing waits. */
+    val isEmpty: Boolean get() = holds.isEmpty()
+
+    /** Keeps [hold], or gives it up when too many wait. */
+    fun add(hold: KeyHold) {
+        if (holds.size < maxSize) holds.add(hold) else onLoss()
+    }
+
+    /** Returns at most [count] releases for keys that [isMine] and forgets expired ones. */
+    fun select(
+        count: Int,
+        nowMillis: Long,
+        isMine: (KeyHold) -> Boolean,
+    ): List<KeyHold> {
+        holds.removeIf { it.key.deadlineMillis + CLOCK_ALLOWANCE_MILLIS <= nowMillis }
+        return holds.filter(isMine).take(count)
+    }
+
+    /** Forgets releases that the log has confirmed. */
+    fun confirm(confirmed: List<KeyHold>) = holds.removeAll(confirmed.toSet())
+
+    private companion object {
+        /** The log's clock may be behind the node's. */
+        const val CLOCK_ALLOWANCE_MILLIS = 60_000L
+    }
+}
