--- a/moves/src/main/kotlin/dev/baobabhollow/moves/FaultEvidence.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/FaultEvidence.kt
@@ -34,11 +34,21 @@
     val metric: Metric,
     val isPaired: Boolean,
     val counts: PairedCounts,
-)
+) {
+    /** Describes the finding for operators. */
+    fun describe(): String {
+        val basis = if (isPaired) "${counts.oldHits} of ${counts.oldCalls} on the old release" else "the reference"
+        return "${metric.label} on route $route: ${counts.newHits} of ${counts.newCalls} calls, against $basis"
+    }
+}
 
-/** Holds the logarithm of the combined e-value of all tests, and the strongest finding if the release is condemned. */
+/**
+ * Holds the logarithm of the combined e-value of all tests, the strongest finding, and the finding that condemns the
+ * release, if any.
+ */
 internal data class Assessment(
     val logEvidence: Double,
+    val strongest: Finding?,
     val fault: Finding?,
 )
 
@@ -114,7 +124,8 @@
 
     /**
      * The traffic of another time and domain differs, so the limit is twice the old release's share plus a constant, and
-     * not below an upper confidence limit of that share, on which the false alarm rate is conditional here. It also rises with the old release's hits in the latest windows, so that what harms both releases is no evidence.
+     * not below an upper confidence limit of that share, on which the false alarm rate is conditional here. It also rises
+     * with the old release's hits in the latest windows, so that what harms both releases is no evidence.
      */
     private fun referenceShare(
         metric: Metric,
@@ -152,6 +163,7 @@
         val isCondemned = sumOf(credible) >= 1 / policy.falseAlarmRate
         return Assessment(
             logEvidence = ln(sumOf(all)),
+            strongest = all.maxByOrNull { it.logEvidence }?.finding,
             fault = if (isCondemned) credible.maxBy { it.logEvidence }.finding else null,
         )
     }
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/Ramp.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/Ramp.kt
@@ -6,13 +6,14 @@
 import dev.baobabhollow.model.RouteId
 
 /** Says what the new release has shown so far. [stepCalls] counts its calls at the present share,
- * [timedCalls] those after warm-up. */
+ * [timedCalls] those after warm-up.
+ * [suspicion] describes what points to a fault without proving it. */
 internal data class RampEvidence(
     val calls: Long,
     val stepCalls: Long,
     val timedCalls: Long,
     val routeCalls: Map<RouteId, Long>,
-    val isSuspect: Boolean,
+    val suspicion: String?,
 )
 
 /** Says whether and to which share a ramp moves on. */
@@ -48,7 +49,7 @@
         if (move.sharePermille < first) return RampStep.Raise(first, "first calls")
         if (nowMillis - move.stageAtMillis < policy.stepMillis) return RampStep.Wait("share is too recent")
         val isPressed = nowMillis >= lastRaiseMillis(move)
-        if (evidence.isSuspect) return nextOfSuspect(move, isPressed)
+        if (evidence.suspicion != null) return nextOfSuspect(move, evidence.suspicion, isPressed)
         return if (move.sharePermille <= MovePolicy.UNPROVEN_PERMILLE) {
             nextOfUnproven(move, evidence, isPressed, nowMillis)
         } else {
@@ -58,12 +59,13 @@
 
     private fun nextOfSuspect(
         move: MoveState,
+        suspicion: String,
         isPressed: Boolean,
     ): RampStep =
         when {
-            !isPressed -> RampStep.Wait("outcomes are suspect")
-            policy.priority == MovePriority.TAKE_BACK -> RampStep.GiveUp("outcomes are still suspect near the deadline")
-            else -> raise(move, "deadline is near and no fault is proven")
+            !isPressed -> RampStep.Wait("is suspect: $suspicion")
+            policy.priority == MovePriority.TAKE_BACK -> RampStep.GiveUp("is suspect near the deadline: $suspicion")
+            else -> raise(move, "deadline is near and no fault is proven; is suspect: $suspicion")
         }
 
     private fun nextOfUnproven(
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/SequentialMoveJudge.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/SequentialMoveJudge.kt
@@ -84,10 +84,7 @@
         session: Session,
         finding: Finding,
     ): MoveDecision {
-        val counts = finding.counts
-        val basis = if (finding.isPaired) "${counts.oldHits} of ${counts.oldCalls} on the old release" else "reference"
-        val reason =
-            "${finding.metric.label} on route ${finding.route}: ${counts.newHits} of ${counts.newCalls} calls, against $basis"
+        val reason = finding.describe()
         return MoveDecision.TakeBack(reason, summarize(session, reason)).also { fault = it }
     }
 
@@ -119,8 +116,9 @@
             session.intake.references.keys
                 .associateWith { session.intake.newCalls[it] ?: 0L }
         val isSuspect = assessment.logEvidence >= ln(SUSPECT_EVIDENCE)
+        val suspicion = assessment.strongest?.describe().takeIf { isSuspect }
         val timedCalls = session.intake.timedCalls
-        val rampEvidence = RampEvidence(calls, calls - callsAtStage, timedCalls, routeCalls, isSuspect)
+        val rampEvidence = RampEvidence(calls, calls - callsAtStage, timedCalls, routeCalls, suspicion)
         return when (
             val step =
                 ramp.next(
--- /dev/null
+++ b/moves/src/test/kotlin/dev/baobabhollow/moves/SimulatedMove.kt
@@ -0,0 +1,176 @@
+package dev.baobabhollow.moves
+
+import dev.baobabhollow.model.FailureDomainId
+import dev.baobabhollow.model.LatencyHistogram
+import dev.baobabhollow.model.MoveId
+import dev.baobabhollow.model.MovePhase
+import dev.baobabhollow.model.MovePlan
+import dev.baobabhollow.model.MovePriority
+import dev.baobabhollow.model.MoveState
+import dev.baobabhollow.model.NodeId
+import dev.baobabhollow.model.OutcomeSummary
+import dev.baobabhollow.model.ReleaseId
+import dev.baobabhollow.model.RouteId
+import dev.baobabhollow.model.ServiceId
+import java.util.Random
+import kotlin.math.exp
+
+internal val PLAN =
+    MovePlan(ServiceId("vitrina"), ReleaseId("1"), ReleaseId("2"), 1_000_000, 1_120_000, 1_150_000)
+
+/** Describes the calls that one target meets in one second. */
+internal data class Weather(
+    val errors: Double = 0.002,
+    val slowFactor: Double = 1.0,
+    val shed: Double = 0.0,
+)
+
+/** Says where and when calls run. [second] counts from the start of the move, [callsBefore] those to this target. */
+internal data class Spot(
+    val isNew: Boolean,
+    val isRare: Boolean,
+    val domain: Int,
+    val second: Int,
+    val sharePermille: Int,
+    val callsBefore: Long,
+)
+
+/** Drives a judge second by second with seeded outcomes of 4 failure domains and 2 routes. */
+internal class SimulatedMove(
+    priority: MovePriority,
+    seed: Long,
+    private val callsPerSecond: Double = 400.0,
+    private val weather: (Spot) -> Weather,
+) {
+    private val policy = MovePolicy.of(priority)
+    private val random = Random(seed)
+    private val callsBefore = HashMap<NodeId, Long>()
+
+    /** Changes the summaries of each second before they are observed. */
+    var delivery: (List<OutcomeSummary>) -> List<OutcomeSummary> = { it }
+
+    /** Judges the move and may be replaced at any time. */
+    var judge = newJudge()
+
+    /** Stages that the move entered. */
+    val stages = ArrayList<MoveState>()
+
+    var state = MoveState(PLAN, "operator")
+        private set
+
+    fun newJudge() = moveJudge(MoveId("move"), policy)
+
+    /** Runs from 20 s before the start until the move is over, and calls [eachSecond] after each second. */
+    fun run(eachSecond: (second: Int) -> Unit = {}): SimulatedMove {
+        var second = -LEAD_IN_SECONDS
+        while (!state.phase.isFinal && second < MAX_SECONDS) {
+            val now = PLAN.startAtMillis + (second + 1) * 1_000L
+            delivery(summaries(second, now)).forEach(judge::observe)
+            apply(judge.decide(state, now), now)
+            eachSecond(second)
+            second++
+        }
+        return this
+    }
+
+    private fun apply(
+        decision: MoveDecision,
+        now: Long,
+    ) = when (decision) {
+        is MoveDecision.Hold -> {
+            Unit
+        }
+
+        is MoveDecision.Advance -> {
+            val phase = if (decision.sharePermille == 1_000) MovePhase.WATCHING else MovePhase.RAMPING
+            enter(phase, decision.sharePermille, decision.reason, now)
+        }
+
+        is MoveDecision.TakeBack -> {
+            enter(MovePhase.TAKEN_BACK, 0, decision.reason, now)
+        }
+
+        is MoveDecision.Finish -> {
+            enter(MovePhase.DONE, 1_000, decision.reason, now)
+        }
+    }
+
+    private fun enter(
+        phase: MovePhase,
+        share: Int,
+        reason: String,
+        now: Long,
+    ) {
+        val full = if (phase == MovePhase.WATCHING) now else state.fullShareAtMillis
+        state =
+            state.copy(
+                stage = state.stage + 1,
+                phase = phase,
+                sharePermille = share,
+                reason = reason,
+                stageAtMillis = now,
+                fullShareAtMillis = full,
+            )
+        stages += state
+    }
+
+    private fun summaries(
+        second: Int,
+        now: Long,
+    ): List<OutcomeSummary> =
+        (0 until DOMAINS).flatMap { domain ->
+            listOf(false, true).flatMap { isNew ->
+                listOf(false, true).mapNotNull { isRare -> summarize(domain, isNew, isRare, second, now) }
+            }
+        }
+
+    private fun summarize(
+        domain: Int,
+        isNew: Boolean,
+        isRare: Boolean,
+        second: Int,
+        now: Long,
+    ): OutcomeSummary? {
+        val share = if (isNew) state.sharePermille / 1_000.0 else 1 - state.sharePermille / 1_000.0
+        val mean = callsPerSecond * share * (if (isRare) RARE_SHARE else 1 - RARE_SHARE) / DOMAINS
+        val node = NodeId("$domain-$isNew")
+        val spot = Spot(isNew, isRare, domain, second, state.sharePermille, callsBefore[node] ?: 0)
+        val weather = weather(spot)
+        val arrivals = poisson(mean)
+        val shed = (0 until arrivals).count { random.nextDouble() < weather.shed }
+        val calls = arrivals - shed
+        if (arrivals == 0) return null
+        callsBefore.merge(node, calls.toLong(), Long::plus)
+        val latency = LatencyHistogram()
+        repeat(calls) { latency.record((20_000 * weather.slowFactor * exp(0.4 * random.nextGaussian())).toLong()) }
+        return OutcomeSummary(
+            node,
+            FailureDomainId("domain-$domain"),
+            PLAN.service,
+            RouteId(if (isRare) "rare" else "main"),
+            if (isNew) PLAN.to else PLAN.from,
+            now,
+            calls.toLong(),
+            (0 until calls).count { random.nextDouble() < weather.errors }.toLong(),
+            shed.toLong(),
+            latency.encode(),
+        )
+    }
+
+    private fun poisson(mean: Double): Int {
+        var count = 0
+        var product = random.nextDouble()
+        while (product > exp(-mean)) {
+            count++
+            product *= random.nextDouble()
+        }
+        return count
+    }
+
+    private companion object {
+        const val DOMAINS = 4
+        const val LEAD_IN_SECONDS = 10
+        const val MAX_SECONDS = 300
+        const val RARE_SHARE = 0.05
+    }
+}
