--- a/moves/src/main/kotlin/dev/baobabhollow/moves/OutcomeComparison.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/OutcomeComparison.kt
@@ -45,12 +45,14 @@
         return if (shedding.size * 2 <= intake.newDomains.size) shedding else emptySet()
     }
 
+    /** One hit is the stronger evidence the more calls of the old release stand beside it, so waiting for them pays. */
     private fun isUseful(
         window: CellWindow,
         expectedOldShare: Double,
     ): Boolean {
-        val all = window.old.calls + window.new.calls
-        return window.old.calls >= USEFUL_OLD_CALLS && window.old.calls * 2 >= all * expectedOldShare
+        val expectedRatio = expectedOldShare / (1 - expectedOldShare).coerceAtLeast(LEAST_NEW_SHARE)
+        val wanted = window.new.calls * expectedRatio.coerceAtMost(USEFUL_RATIO) / 2
+        return window.old.calls >= USEFUL_OLD_CALLS && window.old.calls >= wanted
     }
 
     private fun comparePair(
@@ -101,6 +103,10 @@
         /** Calls of the old release from which one hit on the new release is strong evidence. */
         const val USEFUL_OLD_CALLS = 8L
 
+        /** Calls of the old release for each of the new one beyond which more of them add little evidence. */
+        const val USEFUL_RATIO = 40.0
+        const val LEAST_NEW_SHARE = 0.001
+
         /** Length of the windows for rare calls, as a multiple of the usual one. */
         const val LONG_WINDOWS = 60L
 
