Add bench calls: added latency and goodput beside a baseline

Open-loop generator with latency counted from the due time; straight, one hop and two hops in one run, then loads of 0.5 to 5 times the capacity with and without a slow target.

--- /dev/null
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/calls/CallsReport.kt
@@ -0,0 +1,97 @@
+package dev.baobabhollow.bench.calls
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+
+/** Holds the latency of calls over one path, in milliseconds, and the calls for each second of processor time of nodes. */
+@Serializable
+data class LatencyRow(
+    val path: String,
+    val calls: Long,
+    val failed: Long,
+    val p50Millis: Double,
+    val p99Millis: Double,
+    val p999Millis: Double,
+    val addedP50Millis: Double,
+    val addedP99Millis: Double,
+    /** Median of the rounds, which one disturbed round does not change. */
+    val medianAddedP99Millis: Double,
+    val callsPerCoreSecond: Double?,
+)
+
+/** Holds one overload run; [goodputOfPeak] relates its goodput to the best of the same scenario. */
+@Serializable
+data class OverloadRow(
+    val scenario: String,
+    val loadFactor: Double,
+    val offeredPerSecond: Double,
+    val goodPerSecond: Double,
+    val refusedPerSecond: Double,
+    val failedPerSecond: Double,
+    val p99Millis: Double,
+    val goodputOfPeak: Double,
+)
+
+/** Holds the figures of one run of [CallsBench]. */
+@Serializable
+data class CallsReport(
+    val latency: List<LatencyRow>,
+    val overload: List<OverloadRow>,
+) {
+    /** True if the latency added by two hops and the goodput at the highest load are within the objectives. */
+    val meetsObjectives: Boolean
+        get() {
+            val isFast = latency.all { it.addedP99Millis <= CallsObjectives.ADDED_P99_MILLIS }
+            val highest = overload.maxOfOrNull { it.loadFactor }
+            val last = overload.filter { it.loadFactor == highest && !it.scenario.startsWith(BASELINE) }
+            return isFast && last.all { it.goodputOfPeak >= CallsObjectives.GOODPUT_AT_OVERLOAD }
+        }
+
+    /** Encodes the report. */
+    fun toJson(): String = Json { prettyPrint = true }.encodeToString(serializer(), this)
+
+    /** Returns the report as two tables. */
+    fun toTable(): String =
+        buildString {
+            appendLine(
+                "path       calls  failed  p50 ms  p99 ms  p99.9 ms  +p50 ms  +p99 ms  +p99 median  calls/core-s",
+            )
+            latency.forEach {
+                val perCore = it.callsPerCoreSecond?.let { calls -> "%.0f".format(calls) } ?: "-"
+                appendLine(
+                    "%-9s %6d %7d %7.3f %7.3f %9.3f %8.3f %8.3f %12.3f %13s".format(
+                        it.path,
+                        it.calls,
+                        it.failed,
+                        it.p50Millis,
+                        it.p99Millis,
+                        it.p999Millis,
+                        it.addedP50Millis,
+                        it.addedP99Millis,
+                        it.medianAddedP99Millis,
+                        perCore,
+                    ),
+                )
+            }
+            appendLine()
+            appendLine("scenario                 load  offered/s  good/s  refused/s  failed/s   p99 ms  of peak")
+            overload.forEach {
+                appendLine(
+                    "%-23s %5.1f %10.0f %7.0f %10.0f %9.0f %8.1f %7.1f%%".format(
+                        it.scenario,
+                        it.loadFactor,
+                        it.offeredPerSecond,
+                        it.goodPerSecond,
+                        it.refusedPerSecond,
+                        it.failedPerSecond,
+                        it.p99Millis,
+                        it.goodputOfPeak * 100,
+                    ),
+                )
+            }
+        }
+
+    internal companion object {
+        const val BASELINE = "baseline"
+    }
+}
--- /dev/null
+++ b/bench/src/test/kotlin/dev/baobabhollow/bench/calls/CallsBenchSpec.kt
@@ -0,0 +1,33 @@
+package dev.baobabhollow.bench.calls
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.comparables.shouldBeGreaterThan
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+
+/** Guards against a bench that reports figures without having measured calls. It checks no figures. */
+class CallsBenchSpec :
+    DescribeSpec({
+        describe("the measurement of calls") {
+            it("sends calls over all paths and under overload") {
+                val options =
+                    CallsBenchOptions(
+                        latencyCallsPerSecond = 100,
+                        latencyRounds = 1,
+                        latencySeconds = 1,
+                        warmUpSeconds = 1,
+                        loadFactors = listOf(1.0),
+                        overloadSeconds = 1,
+                        targets = 2,
+                        slots = 1,
+                    )
+                val report = CallsBench(options).run()
+                report.latency.map { it.path } shouldBe listOf("straight", "one hop", "two hops")
+                report.latency.forEach { it.calls - it.failed shouldBeGreaterThan 20L }
+                report.overload.size shouldBe 4
+                report.overload.forEach { it.goodPerSecond shouldBeGreaterThan 5.0 }
+                report.toTable() shouldContain "two hops"
+                report.toJson() shouldContain "addedP99Millis"
+            }
+        }
+    })
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
@@ -14,6 +14,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.timeout.IdleStateHandler
+import io.netty.util.concurrent.DefaultThreadFactory
 import org.apache.logging.log4j.LogManager
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
@@ -36,7 +37,8 @@
     metrics: ProxyMetrics,
 ) : AutoCloseable {
     private val node = NodeCore(settings, self, tables, targetEndpoint, nowMillis, recorder, claims, metrics)
-    private val group = MultiThreadIoEventLoopGroup(settings.eventLoops, NioIoHandler.newFactory())
+    private val group =
+        MultiThreadIoEventLoopGroup(settings.eventLoops, DefaultThreadFactory("proxy"), NioIoHandler.newFactory())
     private val callers = listen(settings.callersEndpoint, EntryPort(node)::open)
     private val peers = listen(self.peerCallEndpoint, OwnerPort(node)::open)
 
