--- a/cli/src/main/kotlin/dev/baobabhollow/cli/Children.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/Children.kt
@@ -11,6 +11,9 @@
 /** System property that makes a command end when the process that started it ends. */
 internal const val STOP_WITH_PARENT_PROPERTY = "baobabhollow.stopWithParent"
 
+/** System property that names the archive of classes that `bin/baobabhollow` has made. */
+internal const val CLASS_ARCHIVE_PROPERTY = "baobabhollow.classArchive"
+
 /** Is a command that runs in its own process. */
 internal class Child(
     val name: String,
@@ -45,7 +48,7 @@
         val classPath = System.getProperty("java.class.path")
         val own = listOf("-D$STOP_WITH_PARENT_PROPERTY=true", "-cp", classPath, "dev.baobabhollow.cli.MainKt")
         val process =
-            ProcessBuilder(listOf(java) + flags + own + args)
+            ProcessBuilder(listOf(java) + flags + archiveFlags() + own + args)
                 .redirectError(File(logDirectory, "$name.log"))
                 .start()
         val address = CompletableFuture<Endpoint>()
@@ -89,6 +92,11 @@
         /** JVM flags of stand-ins, which need little. */
         val STANDIN_FLAGS = listOf("-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xss512k")
 
+        private fun archiveFlags(): List<String> {
+            val archive = System.getProperty(CLASS_ARCHIVE_PROPERTY) ?: return emptyList()
+            return listOf("-XX:SharedArchiveFile=$archive", "-Xlog:cds=off")
+        }
+
         /** JVM flags of nodes, the same that `bin/baobabhollow` uses. */
         fun nodeFlags(): List<String> =
             Children::class.java
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/Commands.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/Commands.kt
@@ -36,4 +36,5 @@
         CommandGroup("report", "Reports", output, BurnCommand(output)),
         CommandGroup("standin", "Stand-ins for tests", output, StandInLogCommand(output), StandInTargetCommand(output)),
         DemoCommand(output),
+        ExerciseCommand(output),
     )
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/demo/DemoFleet.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/demo/DemoFleet.kt
@@ -66,7 +66,7 @@
                 connections = plan.connections,
                 serviceMillis = serviceMillis,
                 serviceJitterPermille = 200,
-                faults = TargetFaults(errorPermille = plan.errorPermille),
+                faults = TargetFaults(errorPermille = plan.errorPermille, healthSays = "ok"),
             )
         val text = ModelJson.encodeToString(options)
         return children.start("target-${plan.name}", Children.STANDIN_FLAGS, "standin", "target", "--options", text)
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/demo/DemoPlan.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/demo/DemoPlan.kt
@@ -27,8 +27,8 @@
     val GOOD_MOVE = MoveId("sheets-to-2")
     val BAD_MOVE = MoveId("vitrina-to-2")
 
-    /** Share of calls that the bad release fails. Below 500, so that its health endpoint still says "ok". */
-    private const val BAD_ERROR_PERMILLE = 400
+    /** Share of calls that the bad release fails, while its health endpoint says "ok". */
+    private const val BAD_ERROR_PERMILLE = 600
     const val COMPLETE_AFTER_MILLIS = 24_000L
     const val WATCH_AFTER_MILLIS = 25_000L
 
@@ -50,9 +50,9 @@
     private val fastPolicy =
         MovePolicySettings(
             rampPermille = listOf(10, 150, 500),
-            provenCalls = 12,
+            provenCalls = 16,
             provenRouteCalls = 4,
-            minProvenCalls = 4,
+            minProvenCalls = 8,
             stepCalls = 60,
             stepMillis = 1_500,
         )
