Bound the repeated claims of a test by time instead of by count

While the log is down claims are refused at once, so 100000 attempts could pass within the backoff and the test failed once (1 of 2 runs).

--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/claims/LogClaimsSpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/claims/LogClaimsSpec.kt
@@ -28,9 +28,11 @@
 
 internal fun CompletableFuture<ClaimResult>.await(): ClaimResult = get(10, TimeUnit.SECONDS)
 
-/** Claims [key] again until it is won; each attempt waits for its answer. */
-internal fun LogClaims.claimUntilWon(key: CallerKey): ClaimResult =
-    generateSequence { start(key).await() }.take(100_000).first { it is ClaimResult.Won }
+/** Claims [key] again until it is won, for at most 5 s; each attempt waits for its answer. */
+internal fun LogClaims.claimUntilWon(key: CallerKey): ClaimResult {
+    val endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(5)
+    return generateSequence { start(key).await() }.first { it is ClaimResult.Won || System.nanoTime() > endNanos }
+}
 
 class LogClaimsSpec :
     DescribeSpec({
@@ -81,7 +83,7 @@
                 node(log, "a").use { claims ->
                     val key = newKey("k")
                     claims.start(key).await().shouldBeInstanceOf<ClaimResult.NotRun>()
-                    claims.claimUntilWon(key)
+                    claims.claimUntilWon(key).shouldBeInstanceOf<ClaimResult.Won>()
                 }
             }
 
@@ -130,7 +132,7 @@
                     claims.start(key).isDone shouldBe true
                     log.readError = null
                     log.onAppend = { _, _ -> null }
-                    claims.claimUntilWon(key)
+                    claims.claimUntilWon(key).shouldBeInstanceOf<ClaimResult.Won>()
                 }
             }
 
@@ -184,7 +186,7 @@
                 val claims = node(log, "a")
                 claims.start(newKey("k")).await().shouldBeInstanceOf<ClaimResult.NotRun>()
                 log.onAppend = { _, _ -> null }
-                claims.claimUntilWon(newKey("k2"))
+                claims.claimUntilWon(newKey("k2")).shouldBeInstanceOf<ClaimResult.Won>()
                 claims.close()
                 claims.start(newKey("k3")).await().shouldBeInstanceOf<ClaimResult.NotRun>()
             }
