Remember shed load for a minute and doubt only spread suspicions at the deadline

At the unproven share a shedding target often sheds none of the few calls between two summaries, so its latency counted against the release. A summary with an end time near the largest number ended decide with an exception; numbers from the network are now bounded.

Mutations of the judge that the tests catch: normalizer of the likelihood dropped (LogLikelihoodRatiosSpec, FalseAlarmSpec), capital of the e-process unbounded (FalseAlarmSpec), repeats counted (MoveJudgeDeliverySpec), warm-up counted (MoveJudgeSpec). A mutation without capital for late faults passed; the watching test now bounds the delay.

--- a/moves/src/main/kotlin/dev/baobabhollow/moves/FaultEvidence.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/FaultEvidence.kt
@@ -43,13 +43,13 @@
 }
 
 /**
- * Holds the logarithm of the combined e-value of all tests, the strongest finding, and the finding that condemns the
- * release, if any.
+ * Sums up the evidence: [fault] condemns the release, and [suspicion] points to a fault without proving it. A suspicion
+ * that [isSpread] over domains and large enough to matter is the stronger one.
  */
 internal data class Assessment(
-    val logEvidence: Double,
-    val strongest: Finding?,
     val fault: Finding?,
+    val suspicion: Finding?,
+    val isSpread: Boolean,
 )
 
 /**
@@ -160,14 +160,18 @@
     fun assess(): Assessment {
         val all = candidates()
         val credible = all.filter { it.logEvidence > LEAST_LOG && isCredible(it) }
-        val isCondemned = sumOf(credible) >= 1 / policy.falseAlarmRate
+        val credibleSum = sumOf(credible)
+        val isSpread = credibleSum >= SUSPECT_EVIDENCE
+        val suspects = if (isSpread) credible else all.takeIf { sumOf(it) >= SUSPECT_EVIDENCE }
         return Assessment(
-            logEvidence = ln(sumOf(all)),
-            strongest = all.maxByOrNull { it.logEvidence }?.finding,
-            fault = if (isCondemned) credible.maxBy { it.logEvidence }.finding else null,
+            fault = if (credibleSum >= 1 / policy.falseAlarmRate) strongest(credible) else null,
+            suspicion = suspects?.let(::strongest),
+            isSpread = isSpread,
         )
     }
 
+    private fun strongest(candidates: List<Candidate>) = candidates.maxBy { it.logEvidence }.finding
+
     private fun sumOf(candidates: List<Candidate>) = candidates.sumOf { exp(it.logEvidence.coerceAtMost(MAX_LOG)) }
 
     private fun candidates(): List<Candidate> =
@@ -225,5 +229,8 @@
         const val MAX_NULL_SHARE = 0.95
         const val MAX_LOG = 600.0
         const val LEAST_LOG = -3.0
+
+        /** Evidence at which the share rises no further; a good release reaches it with a probability of at most 1/20. */
+        const val SUSPECT_EVIDENCE = 20.0
     }
 }
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/OutcomeComparison.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/OutcomeComparison.kt
@@ -24,7 +24,7 @@
     ) {
         val expectedOldShare = 1 - sharePermille / FULL_PERMILLE
         intake.windows.forEach { end, cells ->
-            val shedding = sheddingDomains(cells)
+            val shedding = sheddingDomains(end)
             val isClosed = end + policy.graceMillis <= nowMillis
             cells.forEach { (cell, window) ->
                 if (cell.failureDomain in shedding) window.dropLatencies()
@@ -36,12 +36,13 @@
             cells.forEach { (cell, window) -> if (isUseful(window, expectedOldShare)) comparePair(cell, window) }
         }
         moveOn(nowMillis)
+        intake.shedHistory.forget(nowMillis)
         dropOutdatedLatencies()
     }
 
     /** Shedding that is confined to a minority of domains concerns targets, not the release. */
-    private fun sheddingDomains(cells: Map<CellKey, CellWindow>): Set<FailureDomainId> {
-        val shedding = cells.filterValues { it.sheds }.keys.mapTo(HashSet()) { it.failureDomain }
+    private fun sheddingDomains(endMillis: Long): Set<FailureDomainId> {
+        val shedding = intake.shedHistory.sheddingAt(endMillis)
         return if (shedding.size * 2 <= intake.newDomains.size) shedding else emptySet()
     }
 
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/OutcomeIntake.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/OutcomeIntake.kt
@@ -33,6 +33,9 @@
     /** Holds the outcomes that have not been tested yet. */
     val windows = OutcomeWindows(policy.windowMillis)
 
+    /** Remembers the load that the new release shed. */
+    val shedHistory = ShedHistory(policy.shedShare)
+
     /** Holds the old release's outcomes for each route. */
     val references = TreeMap<RouteId, RouteReference>()
 
@@ -60,8 +63,12 @@
         if (isNew) addNew(summary) else addOld(summary)
     }
 
+    /** Bounds every number, so that none from the network makes a sum overflow. */
     private fun isWellFormed(summary: OutcomeSummary) =
-        summary.calls >= 0 && summary.shed >= 0 && summary.errors in 0..summary.calls
+        summary.calls in 0..MAX_CALLS &&
+            summary.shed in 0..MAX_CALLS &&
+            summary.errors in 0..summary.calls &&
+            summary.endsAtMillis in plan.startAtMillis - MAX_SKEW_MILLIS..plan.watchUntilMillis + MAX_SKEW_MILLIS
 
     /**
      * Counts slow calls. A histogram that cannot be decoded, or holds more values than calls, costs the summary its
@@ -106,7 +113,7 @@
         val window = windows.at(CellKey(summary.route, summary.failureDomain), summary.endsAtMillis)
         window.new += counts
         window.newForReference += counts
-        if (summary.shed > policy.shedShare * (summary.calls + summary.shed)) window.sheds = true
+        shedHistory.note(summary.failureDomain, windows.endOf(summary.endsAtMillis), summary.calls, summary.shed)
     }
 
     /** Latencies count once the target is warm and the limits of slow calls are known. */
@@ -134,4 +141,12 @@
         seen.headMap(beforeMillis).clear()
         forgottenBeforeMillis = max(forgottenBeforeMillis, beforeMillis)
     }
+
+    private companion object {
+        /** Calls that one node answers between two summaries at most. */
+        const val MAX_CALLS = 1_000_000_000L
+
+        /** Summaries from before or after the move by more than this are not taken. */
+        const val MAX_SKEW_MILLIS = 3_600_000L
+    }
 }
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/OutcomeWindows.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/OutcomeWindows.kt
@@ -50,9 +50,6 @@
     /** Outcomes of the new release that wait for the comparison with the reference. */
     var newForReference = SideCounts.NONE
 
-    /** Tells whether a target of the new release shed load in this window. */
-    var sheds = false
-
     /** Drops the latencies. */
     fun dropLatencies() {
         new = new.withoutLatency()
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/Ramp.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/Ramp.kt
@@ -6,14 +6,13 @@
 import dev.baobabhollow.model.RouteId
 
 /** Says what the new release has shown so far. [stepCalls] counts its calls at the present share,
- * [timedCalls] those after warm-up.
- * [suspicion] describes what points to a fault without proving it. */
+ * [timedCalls] those after warm-up. */
 internal data class RampEvidence(
     val calls: Long,
     val stepCalls: Long,
     val timedCalls: Long,
     val routeCalls: Map<RouteId, Long>,
-    val suspicion: String?,
+    val assessment: Assessment,
 )
 
 /** Says whether and to which share a ramp moves on. */
@@ -49,7 +48,7 @@
         if (move.sharePermille < first) return RampStep.Raise(first, "first calls")
         if (nowMillis - move.stageAtMillis < policy.stepMillis) return RampStep.Wait("share is too recent")
         val isPressed = nowMillis >= lastRaiseMillis(move)
-        if (evidence.suspicion != null) return nextOfSuspect(move, evidence.suspicion, isPressed)
+        evidence.assessment.suspicion?.let { return nextOfSuspect(move, evidence.assessment, it.describe(), isPressed) }
         return if (move.sharePermille <= MovePolicy.UNPROVEN_PERMILLE) {
             nextOfUnproven(move, evidence, isPressed, nowMillis)
         } else {
@@ -57,16 +56,20 @@
         }
     }
 
+    /** A suspicion about one domain alone delays the move but does not end it. */
     private fun nextOfSuspect(
         move: MoveState,
+        assessment: Assessment,
         suspicion: String,
         isPressed: Boolean,
-    ): RampStep =
-        when {
+    ): RampStep {
+        val endsMove = assessment.isSpread && policy.priority == MovePriority.TAKE_BACK
+        return when {
             !isPressed -> RampStep.Wait("is suspect: $suspicion")
-            policy.priority == MovePriority.TAKE_BACK -> RampStep.GiveUp("is suspect near the deadline: $suspicion")
+            endsMove -> RampStep.GiveUp("is suspect near the deadline: $suspicion")
             else -> raise(move, "deadline is near and no fault is proven; is suspect: $suspicion")
         }
+    }
 
     private fun nextOfUnproven(
         move: MoveState,
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/SequentialMoveJudge.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/SequentialMoveJudge.kt
@@ -5,7 +5,6 @@
 import dev.baobabhollow.model.MovePhase
 import dev.baobabhollow.model.MoveState
 import dev.baobabhollow.model.OutcomeSummary
-import kotlin.math.ln
 
 /** Creates a judge for [move]. The judge learns the plan from the first call of [MoveJudge.decide]. */
 fun moveJudge(
@@ -115,10 +114,8 @@
         val routeCalls =
             session.intake.references.keys
                 .associateWith { session.intake.newCalls[it] ?: 0L }
-        val isSuspect = assessment.logEvidence >= ln(SUSPECT_EVIDENCE)
-        val suspicion = assessment.strongest?.describe().takeIf { isSuspect }
         val timedCalls = session.intake.timedCalls
-        val rampEvidence = RampEvidence(calls, calls - callsAtStage, timedCalls, routeCalls, suspicion)
+        val rampEvidence = RampEvidence(calls, calls - callsAtStage, timedCalls, routeCalls, assessment)
         return when (
             val step =
                 ramp.next(
@@ -155,8 +152,5 @@
 
         /** Time for which arrived summaries are remembered, so that repeats count once. */
         const val MEMORY_MILLIS = 120_000L
-
-        /** Evidence at which the share rises no further; a good release reaches it with a probability of at most 1/20. */
-        const val SUSPECT_EVIDENCE = 20.0
     }
 }
--- a/moves/src/test/kotlin/dev/baobabhollow/moves/MoveJudgeSpec.kt
+++ b/moves/src/test/kotlin/dev/baobabhollow/moves/MoveJudgeSpec.kt
@@ -46,11 +46,12 @@
                     moves.forEach { highestShare(it) shouldBeLessThanOrEqual MovePolicy.UNPROVEN_PERMILLE }
                 }
 
-                // Guards against good outcomes early on that outweigh a later fault.
+                // Guards against good outcomes early on that outweigh a later fault for more than 4 s.
                 it("takes back a release that begins to fail while the move is watched") {
                     val moves = runAll(priority) { if (it.isNew && it.second > 125) Weather(0.15) else Weather() }
                     shouldAllBeTakenBack(moves, "errors")
                     moves.forEach { move -> move.stages.map { it.phase } shouldContain MovePhase.WATCHING }
+                    moves.forEach { it.state.stageAtMillis shouldBeLessThan PLAN.startAtMillis + 131_000 }
                 }
 
                 // Guards against a comparison that stops when the old release has few calls.
