Judge with care after a takeover and without outcomes of the old release

A new lead near the deadline took back a good release for lack of calls, and a node that sees one ill domain alone could condemn it; both are tested. The bench takes the period of summaries and decisions as options, with the defaults of the control plane.

--- a/bench/src/main/kotlin/dev/baobabhollow/bench/moves/MoveRun.kt
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/moves/MoveRun.kt
@@ -39,6 +39,7 @@
     private val knownFault: KnownFaultTest,
     private val judge: MoveJudge,
     private val promptJudge: MoveJudge?,
+    private val options: MovesOptions,
     private val random: RandomGenerator,
 ) {
     private val deliveries = PriorityQueue<Delivery>(compareBy { it.atMillis })
@@ -88,7 +89,7 @@
             judge.observe(deliveries.poll().summary)
         }
         decidePromptly(summaries, nowMillis)
-        if (state.phase.isFinal) return
+        if (state.phase.isFinal || nowMillis % options.decisionMillis != 0L) return
         when (val decision = judge.decide(state, nowMillis)) {
             is MoveDecision.Hold -> {
                 Unit
@@ -143,7 +144,7 @@
         if (decision is MoveDecision.TakeBack &&
             isFault(decision)
         ) {
-            enoughAtMillis = nowMillis - SimulatedTraffic.SUMMARY_MILLIS
+            enoughAtMillis = nowMillis - options.summaryMillis
         }
     }
 
--- a/bench/src/main/kotlin/dev/baobabhollow/bench/moves/MovesBench.kt
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/moves/MovesBench.kt
@@ -12,12 +12,17 @@
 import java.util.random.RandomGenerator
 import java.util.random.RandomGeneratorFactory
 
-/** Sets a run: [moves] of each kind, the [seed], the [member] whose sizes and policy apply, and threads. */
+/**
+ * Sets a run: [moves] of each kind, the [seed], the [member] whose sizes and policy apply, and threads. Nodes send summaries
+ * every [summaryMillis], and the judge decides every [decisionMillis]; both are multiples of 250 ms.
+ */
 data class MovesOptions(
     val member: BenchMember,
     val moves: Int = 1_000,
     val seed: Long = 1,
     val threads: Int = 8,
+    val summaryMillis: Long = 1_000,
+    val decisionMillis: Long = 500,
     val kinds: List<MoveKind> = MoveKind.entries,
 )
 
@@ -37,8 +42,10 @@
             options.member,
             options.moves,
             options.seed,
-            (System.nanoTime() - startedNanos) / NANOS,
-            rows,
+            options.summaryMillis,
+            options.decisionMillis,
+            seconds = (System.nanoTime() - startedNanos) / NANOS,
+            rows = rows,
         )
     } finally {
         pool.shutdownNow()
@@ -119,9 +126,19 @@
         val conditions = SimulatedConditions(kind, planMillis, WATCH_MILLIS, domains, random)
         val knownFault = KnownFaultTest(policy.falseAlarmRate)
         val traffic =
-            SimulatedTraffic(service, plan, kind.trafficFactor, domains, conditions, knownFault, countsLatency, random)
+            SimulatedTraffic(
+                service,
+                plan,
+                kind.trafficFactor,
+                domains,
+                conditions,
+                knownFault,
+                countsLatency,
+                options.summaryMillis,
+                random,
+            )
         val promptJudge = if (kind.isBad && countsLatency) create(plan) else null
-        return MoveRun(plan, traffic, knownFault, create(plan), promptJudge, random)
+        return MoveRun(plan, traffic, knownFault, create(plan), promptJudge, options, random)
     }
 
     private companion object {
--- a/bench/src/main/kotlin/dev/baobabhollow/bench/moves/MovesReport.kt
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/moves/MovesReport.kt
@@ -45,6 +45,8 @@
     val member: BenchMember,
     val moves: Int,
     val seed: Long,
+    val summaryMillis: Long,
+    val decisionMillis: Long,
     val seconds: Double,
     val rows: List<MovesRow>,
 ) {
--- a/bench/src/main/kotlin/dev/baobabhollow/bench/moves/MovesTable.kt
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/moves/MovesTable.kt
@@ -5,7 +5,10 @@
 /** Renders [report] as text tables. */
 fun renderMovesReport(report: MovesReport): String =
     buildString {
-        appendLine("member ${report.member.name.lowercase()}, ${report.moves} moves of each kind, seed ${report.seed}")
+        appendLine(
+            "member ${report.member.name.lowercase()}, ${report.moves} moves of each kind, seed ${report.seed}, " +
+                "summaries every ${report.summaryMillis} ms, decisions every ${report.decisionMillis} ms",
+        )
         appendLine(
             HEADER.format("judge", "kind", "completed", "taken back", "given up", "new calls", "share", "before"),
         )
@@ -23,7 +26,7 @@
         }
     }
 
-private const val HEADER = "%-8s  %-40s  %9s  %10s  %8s  %9s  %7s  %7s"
+private const val HEADER = "%-8s  %-40s  %9s  %10s  %8s  %9s  %7s  %7s  %10s"
 private const val TIMES_HEADER = "%-40s  %14s  %15s  %14s  %10s  %6s"
 
 private fun line(
@@ -39,6 +42,7 @@
     "%.0f".format(Locale.ROOT, figures.newCalls),
     percent(figures.newCallShare),
     if (kind.isBad) percent(figures.shareBeforeVisible) else "-",
+    if (kind.isBad) "%.0f".format(Locale.ROOT, figures.faultyCallsBeforeVisible) else "-",
 )
 
 private fun times(
--- a/bench/src/main/kotlin/dev/baobabhollow/bench/moves/SimulatedTraffic.kt
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/moves/SimulatedTraffic.kt
@@ -64,13 +64,14 @@
     private val conditions: SimulatedConditions,
     private val knownFault: KnownFaultTest,
     private val countsLatency: Boolean,
+    private val summaryMillis: Long,
     private val random: RandomGenerator,
 ) {
     private val routes = traffic.routes.map { RouteId(it.name) }
     private val targets =
         (0 until domains).flatMap { domain ->
             listOf(false, true).map { isNew ->
-                val phase = random.nextLong(SUMMARY_MILLIS / STEP_MILLIS) * STEP_MILLIS
+                val phase = random.nextLong(summaryMillis / STEP_MILLIS) * STEP_MILLIS
                 SimulatedTarget(plan.service, domain, isNew, phase, traffic.routes.size)
             }
         }
@@ -185,7 +186,7 @@
 
     /** Returns the summaries of all nodes that report at [nowMillis]. */
     fun summaries(nowMillis: Long): List<OutcomeSummary> =
-        targets.filter { (nowMillis + it.phase) % SUMMARY_MILLIS == 0L }.flatMap { target ->
+        targets.filter { (nowMillis + it.phase) % summaryMillis == 0L }.flatMap { target ->
             traffic.routes.indices.mapNotNull { index -> summarize(target, index, nowMillis) }
         }
 
@@ -217,9 +218,6 @@
     companion object {
         /** Length of a simulated step in milliseconds. */
         const val STEP_MILLIS = 250L
-
-        /** Time between two summaries of one node in milliseconds. */
-        const val SUMMARY_MILLIS = 500L
         private const val FULL = 1_000.0
         private const val MILLIS = 1_000.0
         private const val MICROS = 1e6
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/FaultEvidence.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/FaultEvidence.kt
@@ -1,6 +1,7 @@
 package dev.baobabhollow.moves
 
 import dev.baobabhollow.model.FailureDomainId
+import dev.baobabhollow.model.MoveEvidence
 import dev.baobabhollow.model.RouteId
 import java.util.TreeMap
 import kotlin.math.exp
@@ -58,10 +59,13 @@
  * A weighted mean of e-processes with weights that sum to at most 1 is an e-process under any dependence (Vovk and Wang,
  * E-values: calibration, combination and applications, 2021). By Ville's inequality the probability that it ever reaches
  * 1/falseAlarmRate is at most falseAlarmRate. So the rate holds over all routes, metrics and times of a move together.
+ *
+ * [earlier] holds what the judge of an earlier stage saw of the old release.
  */
 internal class FaultEvidence(
     private val policy: MovePolicy,
     private val references: Map<RouteId, RouteReference>,
+    private val earlier: MoveEvidence = MoveEvidence.NONE,
 ) {
     private class RouteTests(
         val weight: Double,
@@ -132,13 +136,24 @@
         reference: RouteReference?,
         endMillis: Long,
     ): Double {
-        if (reference == null) return UNKNOWN_SHARE
+        if (reference == null) return shareWithoutReference()
         val latest = reference.latestHitShare(metric, endMillis - LATEST_MILLIS, endMillis)
         val margin = if (metric == Metric.ERRORS) REFERENCE_ERROR_MARGIN else 0.0
         val limit = max(reference.hitLimit(metric), REFERENCE_FACTOR * max(reference.hitShare(metric), latest))
         return (limit + margin).coerceAtMost(MAX_NULL_SHARE)
     }
 
+    /**
+     * A judge that never saw the old release on a route relies on what an earlier one recorded about all routes. With
+     * outcomes of one domain alone it cannot tell an ill domain from a fault, so only a clear fault counts.
+     */
+    private fun shareWithoutReference(): Double =
+        if (domains.size <= 1 || earlier.oldCalls < KNOWN_CALLS) {
+            UNKNOWN_SHARE
+        } else {
+            (EARLIER_FACTOR * earlier.oldErrors / earlier.oldCalls).coerceIn(EARLIER_LEAST_SHARE, UNKNOWN_SHARE)
+        }
+
     private fun tolerance(metric: Metric) =
         if (metric == Metric.ERRORS) policy.errorOddsTolerance else policy.latencyOddsTolerance
 
@@ -224,7 +239,10 @@
         const val REFERENCE_SPREAD_SHARE = 0.2
         const val REFERENCE_FACTOR = 2.0
         const val REFERENCE_ERROR_MARGIN = 0.005
-        const val UNKNOWN_SHARE = 0.1
+        const val UNKNOWN_SHARE = 0.3
+        const val KNOWN_CALLS = 1_000L
+        const val EARLIER_FACTOR = 4.0
+        const val EARLIER_LEAST_SHARE = 0.03
         const val LATEST_MILLIS = 5_000L
         const val MAX_NULL_SHARE = 0.95
         const val MAX_LOG = 600.0
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/Ramp.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/Ramp.kt
@@ -6,13 +6,15 @@
 import dev.baobabhollow.model.RouteId
 
 /** Says what the new release has shown so far. [stepCalls] counts its calls at the present share,
- * [timedCalls] those after warm-up. */
+ * [timedCalls] those after warm-up.
+ * The judge has watched the move since [watchesSinceMillis]. */
 internal data class RampEvidence(
     val calls: Long,
     val stepCalls: Long,
     val timedCalls: Long,
     val routeCalls: Map<RouteId, Long>,
     val assessment: Assessment,
+    val watchesSinceMillis: Long,
 )
 
 /** Says whether and to which share a ramp moves on. */
@@ -48,7 +50,7 @@
         if (move.sharePermille < first) return RampStep.Raise(first, "first calls")
         if (nowMillis - move.stageAtMillis < policy.stepMillis) return RampStep.Wait("share is too recent")
         val isPressed = nowMillis >= lastRaiseMillis(move)
-        evidence.assessment.suspicion?.let { return nextOfSuspect(move, evidence.assessment, it.describe(), isPressed) }
+        evidence.assessment.suspicion?.let { return nextOfSuspect(move, evidence, it.describe(), isPressed, nowMillis) }
         return if (move.sharePermille <= MovePolicy.UNPROVEN_PERMILLE) {
             nextOfUnproven(move, evidence, isPressed, nowMillis)
         } else {
@@ -59,14 +61,15 @@
     /** A suspicion about one domain alone delays the move but does not end it. */
     private fun nextOfSuspect(
         move: MoveState,
-        assessment: Assessment,
+        evidence: RampEvidence,
         suspicion: String,
         isPressed: Boolean,
+        nowMillis: Long,
     ): RampStep {
-        val endsMove = assessment.isSpread && policy.priority == MovePriority.TAKE_BACK
+        val endsMove = evidence.assessment.isSpread && policy.priority == MovePriority.TAKE_BACK
         return when {
             !isPressed -> RampStep.Wait("is suspect: $suspicion")
-            endsMove -> RampStep.GiveUp("is suspect near the deadline: $suspicion")
+            endsMove -> giveUp(move, "is suspect near the deadline: $suspicion", evidence, nowMillis)
             else -> raise(move, "deadline is near and no fault is proven; is suspect: $suspicion")
         }
     }
@@ -90,11 +93,23 @@
         if (!isPressed) return RampStep.Wait("has ${evidence.calls} calls")
         val reason = "too few calls to tell before the deadline: ${evidence.calls}"
         return when (policy.priority) {
-            MovePriority.TAKE_BACK -> RampStep.GiveUp(reason)
+            MovePriority.TAKE_BACK -> giveUp(move, reason, evidence, nowMillis)
             MovePriority.COMPLETION -> raise(move, reason)
         }
     }
 
+    /** A judge that took over late has missed calls, so it holds instead until it has watched for long enough. */
+    private fun giveUp(
+        move: MoveState,
+        reason: String,
+        evidence: RampEvidence,
+        nowMillis: Long,
+    ): RampStep {
+        val span = move.plan.completeByMillis - move.plan.startAtMillis
+        val isLate = nowMillis - evidence.watchesSinceMillis < span * WATCHED_SHARE
+        return if (isLate) RampStep.Wait("took over late; $reason") else RampStep.GiveUp(reason)
+    }
+
     private fun nextOfProven(
         move: MoveState,
         evidence: RampEvidence,
@@ -147,4 +162,9 @@
         val span = move.plan.completeByMillis - move.plan.startAtMillis
         return move.plan.startAtMillis + (span * policy.provingShare).toLong()
     }
+
+    private companion object {
+        /** Part of the time to the deadline that a judge must have watched before it ends a move for lack of evidence. */
+        const val WATCHED_SHARE = 0.5
+    }
 }
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/SequentialMoveJudge.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/SequentialMoveJudge.kt
@@ -32,6 +32,7 @@
     private var fault: MoveDecision.TakeBack? = null
     private var stage = -1
     private var callsAtStage = 0L
+    private var watchesSinceMillis = 0L
 
     override fun observe(summary: OutcomeSummary) {
         val known = session
@@ -45,7 +46,7 @@
         nowMillis: Long,
     ): MoveDecision {
         if (move.phase.isFinal) return MoveDecision.Hold("move $id is over")
-        val current = session ?: openSession(move)
+        val current = session ?: openSession(move, nowMillis)
         fault?.let { return it }
         current.evidence.investUntil(elapsedShare(move, nowMillis))
         current.comparison.advance(move.sharePermille, nowMillis)
@@ -61,9 +62,13 @@
         }
     }
 
-    private fun openSession(move: MoveState): Session {
+    private fun openSession(
+        move: MoveState,
+        nowMillis: Long,
+    ): Session {
+        watchesSinceMillis = nowMillis
         val intake = OutcomeIntake(move.plan, policy)
-        val evidence = FaultEvidence(policy, intake.references)
+        val evidence = FaultEvidence(policy, intake.references, move.evidence)
         val opened = Session(intake, evidence, OutcomeComparison(policy, intake, evidence))
         early.forEach(intake::add)
         early.clear()
@@ -115,7 +120,8 @@
             session.intake.references.keys
                 .associateWith { session.intake.newCalls[it] ?: 0L }
         val timedCalls = session.intake.timedCalls
-        val rampEvidence = RampEvidence(calls, calls - callsAtStage, timedCalls, routeCalls, assessment)
+        val rampEvidence =
+            RampEvidence(calls, calls - callsAtStage, timedCalls, routeCalls, assessment, watchesSinceMillis)
         return when (
             val step =
                 ramp.next(
--- a/moves/src/test/kotlin/dev/baobabhollow/moves/MoveJudgeDeliverySpec.kt
+++ b/moves/src/test/kotlin/dev/baobabhollow/moves/MoveJudgeDeliverySpec.kt
@@ -118,6 +118,42 @@
                 }
             }
 
+            // Guards against a new lead that takes a good release back because it has seen few calls near the deadline.
+            it("near the deadline does not give up for lack of calls") {
+                val move = SimulatedMove(MovePriority.TAKE_BACK, 11, callsPerSecond = 100.0) { Weather() }
+                move.run { if (it == 85) move.judge = move.newJudge() }.state.phase shouldBe MovePhase.DONE
+            }
+
+            // Guards against a node that is cut off and blames an ill domain, which it alone sees, on the new release.
+            it("and sees the new release in one ill domain only does not take it back") {
+                val move =
+                    SimulatedMove(MovePriority.TAKE_BACK, 12) {
+                        if (it.domain ==
+                            1
+                        ) {
+                            Weather(errors = 0.2)
+                        } else {
+                            Weather()
+                        }
+                    }
+                val cutOff = move.newJudge()
+                var taken = 0
+                move.delivery = { list ->
+                    list.filter { it.node == NodeId("1-true") }.forEach(cutOff::observe)
+                    list
+                }
+                move.run {
+                    if (cutOff.decide(
+                            move.state,
+                            PLAN.startAtMillis + it * 1_000L,
+                        ) is MoveDecision.TakeBack
+                    ) {
+                        taken++
+                    }
+                }
+                taken shouldBe 0
+            }
+
             it("repeats a take-back until the move is over") {
                 val move = failing(10).run()
                 val before = move.stages[move.stages.size - 2]
--- a/moves/src/test/kotlin/dev/baobabhollow/moves/SimulatedMove.kt
+++ b/moves/src/test/kotlin/dev/baobabhollow/moves/SimulatedMove.kt
@@ -2,6 +2,7 @@
 
 import dev.baobabhollow.model.FailureDomainId
 import dev.baobabhollow.model.LatencyHistogram
+import dev.baobabhollow.model.MoveEvidence
 import dev.baobabhollow.model.MoveId
 import dev.baobabhollow.model.MovePhase
 import dev.baobabhollow.model.MovePlan
@@ -83,15 +84,15 @@
 
         is MoveDecision.Advance -> {
             val phase = if (decision.sharePermille == 1_000) MovePhase.WATCHING else MovePhase.RAMPING
-            enter(phase, decision.sharePermille, decision.reason, now)
+            enter(phase, decision.sharePermille, decision.reason, decision.evidence, now)
         }
 
         is MoveDecision.TakeBack -> {
-            enter(MovePhase.TAKEN_BACK, 0, decision.reason, now)
+            enter(MovePhase.TAKEN_BACK, 0, decision.reason, decision.evidence, now)
         }
 
         is MoveDecision.Finish -> {
-            enter(MovePhase.DONE, 1_000, decision.reason, now)
+            enter(MovePhase.DONE, 1_000, decision.reason, decision.evidence, now)
         }
     }
 
@@ -99,6 +100,7 @@
         phase: MovePhase,
         share: Int,
         reason: String,
+        evidence: MoveEvidence,
         now: Long,
     ) {
         val full = if (phase == MovePhase.WATCHING) now else state.fullShareAtMillis
@@ -108,6 +110,7 @@
                 phase = phase,
                 sharePermille = share,
                 reason = reason,
+                evidence = evidence,
                 stageAtMillis = now,
                 fullShareAtMillis = full,
             )
