--- /dev/null
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/distribution/PeerFleet.kt
@@ -0,0 +1,113 @@
+package dev.baobabhollow.bench.distribution
+
+import dev.baobabhollow.model.Endpoint
+import dev.baobabhollow.model.FailureDomainId
+import dev.baobabhollow.model.MovePriority
+import dev.baobabhollow.model.NodeId
+import dev.baobabhollow.model.NodeRecord
+import dev.baobabhollow.model.NodeStatus
+import dev.baobabhollow.model.ReleaseId
+import dev.baobabhollow.model.ServiceId
+import dev.baobabhollow.model.TargetRecord
+import dev.baobabhollow.moves.MovePolicy
+import dev.baobabhollow.moves.moveJudge
+import dev.baobabhollow.peers.ControlCallbacks
+import dev.baobabhollow.peers.ControlPlane
+import dev.baobabhollow.peers.ControlPlaneSettings
+import dev.baobabhollow.platformlog.HttpPlatformLog
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import io.prometheus.metrics.model.snapshots.CounterSnapshot
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.util.SplittableRandom
+import java.util.concurrent.atomic.AtomicLong
+
+/** Runs real control planes with their default settings on loopback. */
+internal class PeerFleet(
+    private val size: Int,
+    private val options: DistributionOptions,
+    private val logEndpoint: Endpoint,
+) : BenchFleet {
+    private class Member(
+        val plane: ControlPlane,
+        val registry: PrometheusRegistry,
+        val arrivals: VersionArrivals,
+    )
+
+    private val reads = AtomicLong()
+    private val logs = mutableListOf<HttpPlatformLog>()
+    private val endpoints = freeEndpoints(size)
+    private val members = List(size, ::start)
+
+    override val design = "peers"
+    override val logReads: Long get() = reads.get()
+    override val sentBytes: Double get() = members.sumOf(::sentBytesOf)
+
+    override fun isSettled(): Boolean =
+        members.all {
+            it.plane.isReady && it.plane.view
+                .live()
+                .size == size
+        }
+
+    override fun arrivalsOf(version: Long): List<Long> = members.mapNotNull { it.arrivals.of(version) }
+
+    override fun close() {
+        members.forEach { it.plane.close() }
+        logs.forEach { it.close() }
+    }
+
+    private fun start(index: Int): Member {
+        val registry = PrometheusRegistry()
+        val arrivals = VersionArrivals()
+        val log = HttpPlatformLog(logEndpoint).also(logs::add)
+        val plane =
+            ControlPlane(
+                settings = ControlPlaneSettings(seeds = endpoints.take(options.domains)),
+                self = recordOf(index),
+                log = CountingLog(log, reads),
+                clock = System::currentTimeMillis,
+                random = SplittableRandom(options.seed + index),
+                registry = registry,
+                callbacks =
+                    ControlCallbacks(
+                        judgeFor = { move, _ -> moveJudge(move, MovePolicy.of(MovePriority.TAKE_BACK)) },
+                        onChange = { state, _, _ -> arrivals.note(state.version) },
+                    ),
+            )
+        plane.start()
+        return Member(plane, registry, arrivals)
+    }
+
+    private fun recordOf(index: Int): NodeRecord {
+        val endpoint = endpoints[index]
+        return NodeRecord(
+            node = NodeId("node-$index"),
+            failureDomain = FailureDomainId("domain-${index % options.domains}"),
+            incarnation = System.currentTimeMillis(),
+            status = NodeStatus.ALIVE,
+            controlEndpoint = endpoint,
+            peerCallEndpoint = endpoint,
+            operatorEndpoint = endpoint,
+            target = TargetRecord(ServiceId("vitrina"), ReleaseId("vitrina@7"), SLOTS, CONNECTIONS),
+        )
+    }
+
+    private fun sentBytesOf(member: Member): Double {
+        val snapshot = member.registry.scrape { it == BYTES }.firstOrNull() as? CounterSnapshot ?: return 0.0
+        return snapshot.dataPoints.filter { it.labels.get("direction") == "sent" }.sumOf { it.value }
+    }
+
+    private companion object {
+        const val HOST = "127.0.0.1"
+        const val BYTES = "baobabhollow_control_bytes"
+        const val SLOTS = 12
+        const val CONNECTIONS = 100
+
+        /** Holds all sockets open until every port is known, so that no port is given twice. */
+        fun freeEndpoints(count: Int): List<Endpoint> {
+            val sockets = List(count) { ServerSocket().apply { bind(InetSocketAddress(HOST, 0)) } }
+            return sockets.map { socket -> socket.use { Endpoint(HOST, it.localPort) } }
+        }
+    }
+}
