Keep a node unready until its state reaches the end of the log or a peer's confirmed state

A node that read a long log in batches counted as ready after the first batch and could take calls with an old version. Unconfirmed nodes no longer answer pulls or push. Pending requests are bounded, and a divergence is logged once for each offset.

--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlaneSettings.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlaneSettings.kt
@@ -17,6 +17,7 @@
     val maxDatagramBytes: Int = 1_200,
     val maxFrameBytes: Int = 8 * 1024 * 1024,
     val maxConnections: Int = 64,
+    val maxPendingRequests: Int = 1_024,
     val requestTimeoutMillis: Long = 3_000,
     val pushFanOut: Int = 4,
     /** Spreads the pulls of nodes that learn at the same moment that they are behind; a push usually comes first. */
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
@@ -34,6 +34,9 @@
     private var isPulling = false
     private var nextPullAtMillis = 0L
 
+    /** Offset of the last divergence that was logged; peers repeat theirs with each datagram. */
+    private var reportedOffset = Long.MIN_VALUE
+
     /** A pull counts as failed then, even if its answer was lost because the ring was full. */
     private var pullTimeoutMillis = 0L
 
@@ -54,7 +57,7 @@
             if (theirs.isConfirmed) confirm()
             return
         }
-        if (theirs.offset < position.offset) return
+        if (theirs.offset < position.offset || !theirs.isConfirmed) return
         if (ahead == null && !isPulling) {
             nextPullAtMillis = maxOf(nextPullAtMillis, nowMillis + random.nextLong(settings.pullJitterMillis + 1))
         }
@@ -96,14 +99,22 @@
         isPulling = false
         ahead = null
         when (val body = answer.fold({ it.body }, { null })) {
-            is Push -> take(body.batch, view).also { backoff.reset() }
-            is WholeState -> take(body.transfer).also { backoff.reset() }
+            is Push -> takePulled { take(body.batch, view) }
+            is WholeState -> takePulled { take(body.transfer) }
             is NothingNew -> takeNothingNew(body, nowMillis)
             is Refused -> waitAfterRefusal(body, nowMillis)
             else -> nextPullAtMillis = nowMillis + backoff.nextMillis()
         }
     }
 
+    /** Only nodes whose state is confirmed answer pulls with content. */
+    private fun takePulled(take: () -> Unit) {
+        val before = position.offset
+        take()
+        if (position.offset > before) confirm()
+        backoff.reset()
+    }
+
     private fun takeNothingNew(
         answer: NothingNew,
         nowMillis: Long,
@@ -133,14 +144,14 @@
             else -> NothingNew(position)
         }
 
-    /** Takes in what the log returned. */
+    /** Takes in what the log returned. The state is current once it reaches the end of the log. */
     fun takeLogBatch(
         afterOffset: Long,
         batch: LogBatch,
         view: FleetView,
     ) {
         if (batch.entries.isNotEmpty()) take(RecordBatch(afterOffset, batch.entries), view, isLogReader = true)
-        if (position.offset >= afterOffset) confirm()
+        if (position.offset + 1 >= batch.nextOffset) confirm()
     }
 
     fun takeLogState(state: ConfigurationState) {
@@ -157,7 +168,8 @@
         when (val result = replica.offer(batch)) {
             is OfferResult.Applied -> {
                 moveOn()
-                push(RecordBatch(before, batch.entries.filter { it.offset > before }), view, isLogReader)
+                val fresh = RecordBatch(before, batch.entries.filter { it.offset > before })
+                if (position.isConfirmed) push(fresh, view, isLogReader)
             }
 
             is OfferResult.Rejected -> {
@@ -189,7 +201,7 @@
     }
 
     private fun moveOn() {
-        position = Position(state.offset, state.version, contentHash(state))
+        position = Position(state.offset, state.version, contentHash(state), position.isConfirmed)
         metrics.showPosition(position)
     }
 
@@ -224,7 +236,11 @@
         pull: Pull,
         nowMillis: Long,
     ): FrameBody {
-        if (pull.afterOffset >= position.offset) return counted("nothing", NothingNew(position))
+        if (pull.afterOffset >= position.offset ||
+            !position.isConfirmed
+        ) {
+            return counted("nothing", NothingNew(position))
+        }
         replica.recordsAfter(pull.afterOffset)?.let { return counted("records", Push(it)) }
         limit.admit(nowMillis)?.let { return counted("refused", Refused(it)) }
         return counted("state", WholeState(StateTransfer(state, position.contentHash)))
@@ -260,6 +276,8 @@
 
     private fun reportDivergence(endpoint: Endpoint) {
         metrics.countDivergence()
+        if (reportedOffset == position.offset) return
+        reportedOffset = position.offset
         LOG.error("the node at {} holds another state at offset {}", endpoint, position.offset)
     }
 
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/PeerTransport.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/PeerTransport.kt
@@ -76,6 +76,7 @@
     private val outgoing = Channel<Outgoing>(settings.ringCapacity)
     private val sockets = mutableListOf<ASocket>()
     private val incomingSlots = Semaphore(settings.maxConnections)
+    private val pendingRequests = Semaphore(settings.maxPendingRequests)
     private val outgoingSlots = Semaphore(settings.maxConnections)
 
     /** Binds both sockets. Throws when the port is taken. */
@@ -101,8 +102,14 @@
         frame: PeerFrame,
         onAnswer: (Result<PeerFrame, PeerError>) -> Unit,
     ) {
+        if (!pendingRequests.tryAcquire()) {
+            metrics.countFullRing("requests")
+            return onAnswer(Err(PeerError.NoAnswer("too many requests")))
+        }
         scope.launch {
-            onAnswer(outgoingSlots.withPermit { exchange(to, frame) })
+            val answer = outgoingSlots.withPermit { exchange(to, frame) }
+            pendingRequests.release()
+            onAnswer(answer)
         }
     }
 
--- a/peers/src/test/kotlin/dev/baobabhollow/peers/DistributionSpec.kt
+++ b/peers/src/test/kotlin/dev/baobabhollow/peers/DistributionSpec.kt
@@ -93,6 +93,18 @@
             }
         }
 
+        // Guards against a node that takes calls with an old version while it still reads the log.
+        describe("a node that reads a long log in small batches") {
+            it("is not ready before it has reached the end") {
+                TestFleet(settings = TestFleet.SETTINGS.copy(maxReadRecords = 7)).use { fleet ->
+                    fleet.reserve("a-1")
+                    repeat(200) { fleet.publish(it.toLong()) }
+                    val node = fleet.start("a-1")
+                    eventually(10.seconds) { node.firstReadyVersion shouldBe 200 }
+                }
+            }
+        }
+
         // Guards against a node that takes calls with an empty configuration.
         describe("a node without neighbours while the log is down") {
             it("is not ready, says why, and recovers with the log") {
--- a/peers/src/test/kotlin/dev/baobabhollow/peers/TestFleet.kt
+++ b/peers/src/test/kotlin/dev/baobabhollow/peers/TestFleet.kt
@@ -70,7 +70,7 @@
                 callbacks =
                     ControlCallbacks(
                         judgeFor = { move, state -> judgeFor(id, move, state) },
-                        onChange = { state, _, _ -> node.versions += state.version },
+                        onChange = { state, _, _ -> node.note(state.version) },
                         dropsControl = drops,
                     ),
             )
@@ -146,6 +146,16 @@
     lateinit var plane: ControlPlane
     val versions: MutableList<Long> = Collections.synchronizedList(mutableListOf())
 
+    /** Version of the first change that found the node ready. */
+    @Volatile
+    var firstReadyVersion: Long? = null
+        private set
+
+    fun note(version: Long) {
+        versions += version
+        if (plane.isReady && firstReadyVersion == null) firstReadyVersion = version
+    }
+
     /** Returns the sum of the counter [name] over all points that have [label] as the value of any label. */
     fun count(
         name: String,
