Close connections that hold part of an unrequested answer

A duplicated answer of which only a part had arrived stayed in the decoder and would have become the next caller's answer. A connection with leftover bytes is no longer used.

--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/Codecs.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/Codecs.kt
@@ -23,6 +23,9 @@
 ) : HttpResponseDecoder(decoderConfig(settings)) {
     var method: HttpMethod = HttpMethod.GET
 
+    /** True if bytes have arrived that do not make up a message yet. */
+    val hasPartialMessage: Boolean get() = actualReadableBytes() > 0
+
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) = rejectTwoLengths()
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ConnectionPool.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ConnectionPool.kt
@@ -71,7 +71,8 @@
     ) {
         while (true) {
             val connection = idle.pollFirst() ?: break
-            if (connection.channel.isActive) return ready(connection, null)
+            if (connection.isUsable) return ready(connection, null)
+            connection.channel.close()
         }
         if (limit.tryOpen()) return connect(ready)
         if (retries == 0) return ready(null, FailureReason.TOO_MANY_CONNECTIONS)
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamConnection.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamConnection.kt
@@ -31,6 +31,9 @@
     /** Time at which the connection became idle. */
     var idleSinceMillis = 0L
 
+    /** True if the connection can carry another exchange: bytes that belong to none would become part of its answer. */
+    val isUsable: Boolean get() = channel.isActive && !decoder.hasPartialMessage
+
     fun begin(
         call: UpstreamCall,
         method: HttpMethod,
@@ -121,7 +124,7 @@
     fun end(isReusable: Boolean) {
         val current = call ?: return
         call = null
-        if (isReusable && channel.isActive) {
+        if (isReusable && isUsable) {
             setReading(true)
             onIdle(this)
             current.onReleased()
--- /dev/null
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/BackPressureSpec.kt
@@ -0,0 +1,75 @@
+package dev.baobabhollow.proxy
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.netty.buffer.ByteBufAllocator
+import io.netty.buffer.ByteBufAllocatorMetricProvider
+import java.util.concurrent.atomic.AtomicLong
+
+private const val BODY_BYTES = 64 * 1024 * 1024
+private const val CHUNK_BYTES = 65_536
+
+/** Guards against bodies that pile up in a node when one side is slower than the other. */
+class BackPressureSpec :
+    DescribeSpec({
+        val chunk = "x".repeat(CHUNK_BYTES)
+
+        fun heldBytes(): Long {
+            val metric = (ByteBufAllocator.DEFAULT as ByteBufAllocatorMetricProvider).metric()
+            return metric.usedDirectMemory() + metric.usedHeapMemory()
+        }
+
+        describe("a long body") {
+            it("is not read faster from the target than the caller takes it") {
+                val target =
+                    ScriptedTarget { wire ->
+                        wire.read()
+                        wire.send("HTTP/1.1 200 OK\r\ncontent-length: $BODY_BYTES\r\n\r\n")
+                        repeat(BODY_BYTES / CHUNK_BYTES) { wire.send(chunk) }
+                        wire.read()
+                    }
+                TestMesh(listOf(target.port), timeoutMillis = 60_000).use { mesh ->
+                    val wire = connect(mesh.port)
+                    wire.socket.receiveBufferSize = CHUNK_BYTES
+                    wire.send("GET /stock HTTP/1.1\r\nhost: a\r\n\r\n")
+                    wire.read(withBody = false)?.status shouldBe 200
+                    val before = heldBytes()
+                    var most = 0L
+                    var received = 0
+                    repeat(BODY_BYTES / CHUNK_BYTES) {
+                        received += wire.readBytes(CHUNK_BYTES).length
+                        most = maxOf(most, heldBytes() - before)
+                    }
+                    received shouldBe BODY_BYTES
+                    most shouldBeLessThan BODY_BYTES / 4L
+                }
+                target.close()
+            }
+
+            it("is not read faster from the caller than the target takes it") {
+                val received = AtomicLong()
+                val most = AtomicLong()
+                val before = heldBytes()
+                val target =
+                    ScriptedTarget { wire ->
+                        wire.socket.receiveBufferSize = CHUNK_BYTES
+                        wire.read(withBody = false)
+                        repeat(BODY_BYTES / CHUNK_BYTES) {
+                            received.addAndGet(wire.readBytes(CHUNK_BYTES).length.toLong())
+                            most.accumulateAndGet(heldBytes() - before, ::maxOf)
+                        }
+                        wire.answer("done")
+                    }
+                TestMesh(listOf(target.port), timeoutMillis = 60_000).use { mesh ->
+                    val wire = connect(mesh.port)
+                    wire.send("POST /drawings HTTP/1.1\r\nhost: a\r\ncontent-length: $BODY_BYTES\r\n\r\n")
+                    repeat(BODY_BYTES / CHUNK_BYTES) { wire.send(chunk) }
+                    wire.read()?.body shouldBe "done"
+                }
+                received.get() shouldBe BODY_BYTES.toLong()
+                most.get() shouldBeLessThan BODY_BYTES / 4L
+                target.close()
+            }
+        }
+    })
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/WholeAnswerSpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/WholeAnswerSpec.kt
@@ -99,6 +99,23 @@
                 runs.get() shouldBe 20
             }
 
+            it("reaches nobody else when only a part of its duplicate comes before the next request") {
+                withTarget({ wire ->
+                    while (true) {
+                        val request = wire.read() ?: break
+                        val stale = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nstale"
+                        val text = "for ${request.path}"
+                        wire.send("HTTP/1.1 200 OK\r\ncontent-length: ${text.length}\r\n\r\n$text" + stale.take(20))
+                        wire.read() ?: break
+                        wire.send(stale.drop(20))
+                    }
+                }) { mesh ->
+                    connect(mesh.port).use { wire ->
+                        repeat(20) { wire.call("/stock/$it")?.body shouldBe "for /stock/$it" }
+                    }
+                }
+            }
+
             it("reaches nobody when it comes after the caller has gone or the deadline has passed") {
                 val asked = Signal<Wire>()
                 withTarget({ wire ->
