Count a call's own service time when admission judges its deadline

A call that would wait until just before its deadline took a slot and answered too late. Uploads and lookups are judged by their own service times.

--- a/calls/src/main/kotlin/dev/baobabhollow/calls/Admission.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/Admission.kt
@@ -55,6 +55,7 @@
     private var holdingUploads = 0
     private var isDraining = false
     private var serviceMicros = settings.initialServiceMicros.toDouble()
+    private val classServiceMicros = DoubleArray(CallClass.entries.size) { settings.initialServiceMicros.toDouble() }
 
     /** Number of calls that hold a slot. */
     @get:Synchronized
@@ -151,8 +152,12 @@
         if (nowMillis >= request.deadlineMillis) return Refusal.DEADLINE_PASSED
         if (holding + queue.size < slots) return null
         val ahead = queue.countAhead(request.callClass) + 1
-        val waitMillis = ahead * serviceMicros / slots / MICROS_PER_MILLI
-        return if (nowMillis + waitMillis > request.deadlineMillis) Refusal.WAIT_TOO_LONG else null
+        val waitMicros = ahead * serviceMicros / slots
+        val ownMicros = classServiceMicros[request.callClass.ordinal]
+        // An answer after the deadline is as useless as none, so the call's own time at the target counts too. A call that
+        // finds a free slot always runs; else a single slow spell could refuse all calls that would show its end.
+        val endMillis = nowMillis + (waitMicros + ownMicros) / MICROS_PER_MILLI
+        return if (endMillis > request.deadlineMillis) Refusal.WAIT_TOO_LONG else null
     }
 
     private fun enqueue(
@@ -197,7 +202,10 @@
         holding--
         if (ticket.request.callClass == CallClass.UPLOAD) holdingUploads--
         val held = (nowMicros - ticket.grantedMicros).coerceAtLeast(0)
-        if (isMeasured) serviceMicros += (held - serviceMicros) * SERVICE_TIME_WEIGHT
+        if (!isMeasured) return
+        val index = ticket.request.callClass.ordinal
+        serviceMicros += (held - serviceMicros) * SERVICE_TIME_WEIGHT
+        classServiceMicros[index] += (held - classServiceMicros[index]) * SERVICE_TIME_WEIGHT
     }
 
     private fun refuse(
