--- /dev/null
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/OutcomeIntake.kt
@@ -0,0 +1,137 @@
+package dev.baobabhollow.moves
+
+import dev.baobabhollow.model.FailureDomainId
+import dev.baobabhollow.model.LatencyHistogram
+import dev.baobabhollow.model.MovePlan
+import dev.baobabhollow.model.NodeId
+import dev.baobabhollow.model.OutcomeSummary
+import dev.baobabhollow.model.RouteId
+import java.util.TreeMap
+import java.util.TreeSet
+import kotlin.math.max
+
+/** Takes in summaries: drops repeats and malformed ones, leaves out warm-up, and sorts the rest into time windows. */
+internal class OutcomeIntake(
+    private val plan: MovePlan,
+    private val policy: MovePolicy,
+) {
+    private data class SummaryKey(
+        val node: NodeId,
+        val route: RouteId,
+        val isNew: Boolean,
+    )
+
+    private class WarmUp(
+        val firstEndsAtMillis: Long,
+        var calls: Long = 0,
+    )
+
+    private val seen = TreeMap<Long, MutableSet<SummaryKey>>()
+    private var forgottenBeforeMillis = Long.MIN_VALUE
+    private val warmUps = HashMap<NodeId, WarmUp>()
+
+    /** Holds the outcomes that have not been tested yet. */
+    val windows = OutcomeWindows(policy.windowMillis)
+
+    /** Holds the old release's outcomes for each route. */
+    val references = TreeMap<RouteId, RouteReference>()
+
+    /** Counts the calls of the new release for each route. */
+    val newCalls = TreeMap<RouteId, Long>()
+
+    /** Failed calls of the new release. */
+    var newErrors = 0L
+        private set
+
+    /** Calls of the new release whose latencies count. */
+    var timedCalls = 0L
+        private set
+
+    /** Failure domains in which the new release had calls. */
+    val newDomains = TreeSet<FailureDomainId>()
+
+    /** Takes in [summary] unless it is a repeat, malformed, or of another service or release. */
+    fun add(summary: OutcomeSummary) {
+        val isNew = summary.release == plan.to
+        if (summary.service != plan.service || !(isNew || summary.release == plan.from)) return
+        if (!isWellFormed(summary) || summary.endsAtMillis < forgottenBeforeMillis) return
+        val repeats = seen.getOrPut(summary.endsAtMillis) { HashSet() }
+        if (!repeats.add(SummaryKey(summary.node, summary.route, isNew))) return
+        if (isNew) addNew(summary) else addOld(summary)
+    }
+
+    private fun isWellFormed(summary: OutcomeSummary) =
+        summary.calls >= 0 && summary.shed >= 0 && summary.errors in 0..summary.calls
+
+    /**
+     * Counts slow calls. A histogram that cannot be decoded, or holds more values than calls, costs the summary its
+     * latencies but not its errors.
+     */
+    private fun countLatencies(
+        summary: OutcomeSummary,
+        reference: RouteReference?,
+    ): SideCounts? {
+        val slowMicros = reference?.slowMicros ?: Long.MAX_VALUE
+        val verySlowMicros = reference?.verySlowMicros ?: Long.MAX_VALUE
+        var timed = 0L
+        var slow = 0L
+        var verySlow = 0L
+        try {
+            LatencyHistogram.forEachEncoded(summary.latency) { micros, occurrences ->
+                timed += occurrences
+                if (micros > slowMicros) slow += occurrences
+                if (micros > verySlowMicros) verySlow += occurrences
+            }
+        } catch (_: IllegalArgumentException) {
+            return null
+        }
+        return if (timed <= summary.calls) SideCounts(summary.calls, summary.errors, timed, slow, verySlow) else null
+    }
+
+    private fun addOld(summary: OutcomeSummary) {
+        val reference = references.getOrPut(summary.route) { RouteReference() }
+        val timed = countLatencies(summary, reference)
+        val counts = timed.takeIf { reference.slowMicros != null } ?: SideCounts(summary.calls, summary.errors)
+        windows.at(CellKey(summary.route, summary.failureDomain), summary.endsAtMillis).old += counts
+        reference.noteLatest(windows.endOf(summary.endsAtMillis), counts)
+        reference.add(summary.calls, summary.errors, summary.latency.takeIf { timed != null })
+    }
+
+    private fun addNew(summary: OutcomeSummary) {
+        newCalls.merge(summary.route, summary.calls, Long::plus)
+        newErrors += summary.errors
+        if (summary.calls > 0) newDomains += summary.failureDomain
+        val counts = countNew(summary)
+        timedCalls += counts.timed
+        val window = windows.at(CellKey(summary.route, summary.failureDomain), summary.endsAtMillis)
+        window.new += counts
+        window.newForReference += counts
+        if (summary.shed > policy.shedShare * (summary.calls + summary.shed)) window.sheds = true
+    }
+
+    /** Latencies count once the target is warm and the limits of slow calls are known. */
+    private fun countNew(summary: OutcomeSummary): SideCounts {
+        val reference = references[summary.route]
+        val isWarm = noteWarmUp(summary)
+        val counts = if (isWarm && reference?.slowMicros != null) countLatencies(summary, reference) else null
+        return counts ?: SideCounts(summary.calls, summary.errors)
+    }
+
+    private fun noteWarmUp(summary: OutcomeSummary): Boolean {
+        val warmUp = warmUps.getOrPut(summary.node) { WarmUp(summary.endsAtMillis) }
+        val isWarm =
+            warmUp.calls >= policy.warmUpCalls &&
+                summary.endsAtMillis - warmUp.firstEndsAtMillis >= policy.warmUpMillis
+        warmUp.calls += summary.calls
+        return isWarm
+    }
+
+    /** Recomputes the limits of slow calls and returns the routes whose limits changed. */
+    fun refreshReferences(): Set<RouteId> = references.filterValues { it.refresh() }.keys
+
+    /** Forgets which summaries arrived that ended before [beforeMillis]; such summaries are not taken any more. */
+    fun forgetBefore(beforeMillis: Long) {
+        seen.headMap(beforeMillis).clear()
+        forgottenBeforeMillis = max(forgottenBeforeMillis, beforeMillis)
+    }
+}
