--- a/cli/src/main/kotlin/dev/baobabhollow/cli/demo/DemoPlan.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/demo/DemoPlan.kt
@@ -106,15 +106,19 @@
         listOf(
             LoadRoute("/vitrina/catalogue", "vitrina", 40),
             LoadRoute("/sheets/morning", "sheets", 50),
-            LoadRoute("/pedidos/orders", "pedidos", 5, isOnce = true),
+            LoadRoute("/pedidos/orders", "pedidos", 5, isOnce = true, hasKey = true),
             LoadRoute("/lots/locks", "lots", 5, isOnce = true),
         )
 }
 
-/** States a path that the load generator calls, the service that must answer and its share of the calls. */
+/**
+ * States a path that the load generator calls, the service that must answer and its share of the calls. Calls that must run
+ * at most once ([isOnce]) have a caller-made idempotency key if [hasKey] is set.
+ */
 internal data class LoadRoute(
     val path: String,
     val service: String,
     val percent: Int,
     val isOnce: Boolean = false,
+    val hasKey: Boolean = false,
 )
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/demo/LoadGenerator.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/demo/LoadGenerator.kt
@@ -115,8 +115,9 @@
                 .newBuilder(URI("http://${current[(number % current.size).toInt()]}${route.path}"))
                 .timeout(TIMEOUT)
                 .header("x-request-id", id)
-        if (route.isOnce) builder.POST(HttpRequest.BodyPublishers.ofString("body of $id"))
         val sentAtMillis = System.currentTimeMillis()
+        if (route.isOnce) builder.POST(HttpRequest.BodyPublishers.ofString("body of $id"))
+        if (route.hasKey) builder.header("idempotency-key", "${sentAtMillis + KEY_MILLIS}-$id")
         val startNanos = System.nanoTime()
         inFlight.incrementAndGet()
         http.sendAsync(builder.build(), HttpResponse.BodyHandlers.ofString()).whenComplete { response, failure ->
@@ -165,6 +166,9 @@
 
     private companion object {
         const val SEED = 7
+
+        /** Time for which the keys of calls are valid. */
+        const val KEY_MILLIS = 60_000L
         const val SERVER_ERROR = 500
         const val SHOWN = 120
         const val WAIT_NANOS = 5_000_000L
--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -7,15 +7,16 @@
 import dev.baobabhollow.model.NodeRecord
 import dev.baobabhollow.model.NodeStatus
 import dev.baobabhollow.model.TargetRecord
+import dev.baobabhollow.model.WriterId
 import dev.baobabhollow.peers.ControlCallbacks
 import dev.baobabhollow.peers.ControlPlane
 import dev.baobabhollow.peers.ControlPlaneSettings
 import dev.baobabhollow.platformlog.HttpPlatformLog
-import dev.baobabhollow.proxy.NoKeyClaims
 import dev.baobabhollow.proxy.OutcomeRecorder
 import dev.baobabhollow.proxy.ProxyMetrics
 import dev.baobabhollow.proxy.ProxyServer
 import dev.baobabhollow.proxy.ProxySettings
+import dev.baobabhollow.proxy.claims.LogClaims
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import org.apache.logging.log4j.Level
 import java.util.SplittableRandom
@@ -39,6 +40,8 @@
     private val tableLock = Any()
     private val log = HttpPlatformLog(settings.platformLog)
     private val control = controlPlane(registry)
+    private val logClaims = LogClaims(log, WriterId("${settings.node}/$upSinceMillis/claims"), nowMillis = nowMillis)
+    private val keyClaims = NodeKeyClaims(self, ::incarnation, logClaims, upSinceMillis)
     private val targetDuty = settings.target?.let { TargetDuty(it, control::announceTarget) }
     private val duties = Executors.newSingleThreadScheduledExecutor { Thread(it, "duties").apply { isDaemon = true } }
     private val proxyMetrics = ProxyMetrics(registry)
@@ -49,6 +52,17 @@
             operatorRoutes(registry)::handle,
         )
 
+    init {
+        val metrics = NodeMetrics(registry)
+        metrics.gauge("ready", "1 if the node lacks nothing to take calls") { if (facts().lacking.isEmpty()) 1 else 0 }
+        metrics.gauge("calls_in_flight", "Calls in flight on both ports") { proxy?.inFlight ?: 0 }
+        metrics.gauge("target_load_permille", "Load of the own target in permille of its slots") {
+            proxy?.loadPermille
+                ?: 0
+        }
+        metrics.claims(logClaims.counters)
+    }
+
     @Volatile
     private var proxy: ProxyServer? = null
 
@@ -66,7 +80,7 @@
                 targetEndpoint = settings.target?.endpoint,
                 nowMillis = nowMillis,
                 recorder = OutcomeRecorder(),
-                claims = NoKeyClaims,
+                claims = keyClaims,
                 metrics = proxyMetrics,
             )
         control.start()
@@ -92,12 +106,15 @@
         duties.shutdownNow()
         proxy?.close()
         control.close()
+        logClaims.close()
         log.close()
         operators.close()
         EventLog.write("node_stopped", "announced" to isAnnounced, "callsCutOff" to left)
         return left
     }
 
+    private fun incarnation(): Long = control.view.nodes[settings.node]?.incarnation ?: self.incarnation
+
     private fun controlPlane(registry: PrometheusRegistry): ControlPlane =
         ControlPlane(
             settings = ControlPlaneSettings(seeds = settings.seeds),
--- /dev/null
+++ b/node/src/main/kotlin/dev/baobabhollow/node/NodeKeyClaims.kt
@@ -0,0 +1,135 @@
+package dev.baobabhollow.node
+
+import com.github.michaelbull.result.get
+import dev.baobabhollow.calls.CallerKey
+import dev.baobabhollow.calls.IdempotencyKey
+import dev.baobabhollow.calls.IssuedKey
+import dev.baobabhollow.calls.KeptAnswer
+import dev.baobabhollow.calls.KeyOutcomes
+import dev.baobabhollow.calls.KeyStart
+import dev.baobabhollow.model.NodeRecord
+import dev.baobabhollow.proxy.KeyClaims
+import dev.baobabhollow.proxy.KeyDecision
+import dev.baobabhollow.proxy.KeyIssuer
+import dev.baobabhollow.proxy.StoredAnswer
+import dev.baobabhollow.proxy.claims.ClaimResult
+import dev.baobabhollow.proxy.claims.KeyHold
+import dev.baobabhollow.proxy.claims.LogClaims
+import java.security.SecureRandom
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+
+/**
+ * Decides on keys for the proxy of [self]: issued keys from memory alone, caller-made keys through [log]. Remembers what
+ * became of each key until its deadline.
+ *
+ * [incarnation] is the current one of this process. Membership raises it when the node's record changes, so issued keys
+ * of all incarnations since the start are known here.
+ */
+internal class NodeKeyClaims(
+    private val self: NodeRecord,
+    private val incarnation: () -> Long,
+    private val log: LogClaims,
+    startMillis: Long,
+) : KeyClaims {
+    private val outcomes = KeyOutcomes()
+    private val holds = ConcurrentHashMap<String, KeyHold>()
+    private val random = SecureRandom()
+    private val startNanos = System.nanoTime()
+
+    /** Does not follow steps of the clock, after which a forgotten key would count as new. */
+    private val steadyMillis = { startMillis + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos) }
+
+    override fun issuerOf(key: String): KeyIssuer? {
+        val issued = parse(key) as? IssuedKey ?: return null
+        return KeyIssuer(issued.node, issued.incarnation, issued.deadlineMillis)
+    }
+
+    override fun issue(
+        deadlineMillis: Long,
+        nowMillis: Long,
+    ): String? = IssuedKey.issue(self.node, incarnation(), deadlineMillis, random::nextBytes).text
+
+    override fun claim(
+        key: String,
+        callDeadlineMillis: Long,
+        nowMillis: Long,
+        decide: (KeyDecision) -> Unit,
+    ) {
+        val parsed = parse(key) ?: return decide(KeyDecision.Expired)
+        when (val start = outcomes.begin(parsed, ANY_REQUEST, steadyMillis())) {
+            is KeyStart.Started -> claimStarted(parsed, callDeadlineMillis, decide)
+            is KeyStart.Answered -> decide(KeyDecision.Answered(start.answer.toStored()))
+            is KeyStart.Refused -> decide(KeyDecision.Expired)
+            KeyStart.Full -> decide(KeyDecision.Unavailable)
+            KeyStart.Running, KeyStart.Ran, KeyStart.OtherRequest -> decide(KeyDecision.Used)
+        }
+    }
+
+    override fun finished(
+        key: String,
+        answer: StoredAnswer?,
+    ) {
+        val parsed = parse(key) ?: return
+        holds.remove(key)
+        outcomes.finish(parsed, answer?.let { KeptAnswer(it.status, it.headers, it.body) })
+    }
+
+    override fun released(key: String) {
+        val parsed = parse(key) ?: return
+        outcomes.abandon(parsed)
+        holds.remove(key)?.let(log::release)
+    }
+
+    private fun claimStarted(
+        key: IdempotencyKey,
+        callDeadlineMillis: Long,
+        decide: (KeyDecision) -> Unit,
+    ) = when (key) {
+        is CallerKey -> claimInLog(key, callDeadlineMillis, decide)
+        is IssuedKey -> decideIssued(key, decide)
+    }
+
+    /** Refuses keys of an earlier process, whose outcomes went with its memory. */
+    private fun decideIssued(
+        key: IssuedKey,
+        decide: (KeyDecision) -> Unit,
+    ) {
+        val isOwn = key.node == self.node && key.incarnation in self.incarnation..incarnation()
+        if (isOwn) return decide(KeyDecision.Granted)
+        outcomes.abandon(key)
+        decide(KeyDecision.Used)
+    }
+
+    private fun claimInLog(
+        key: CallerKey,
+        callDeadlineMillis: Long,
+        decide: (KeyDecision) -> Unit,
+    ) = log.claim(key, callDeadlineMillis) { result ->
+        when (result) {
+            is ClaimResult.Won -> {
+                holds[key.text] = result.hold
+                decide(KeyDecision.Granted)
+            }
+
+            is ClaimResult.Lost -> {
+                outcomes.abandon(key)
+                decide(KeyDecision.Used)
+            }
+
+            is ClaimResult.NotRun -> {
+                outcomes.abandon(key)
+                decide(KeyDecision.Unavailable)
+            }
+        }
+    }
+
+    private fun parse(key: String): IdempotencyKey? = IdempotencyKey.parse(key).get()
+
+    private fun KeptAnswer.toStored() = StoredAnswer(status, headers, body)
+
+    private companion object {
+        /** The proxy does not say which request a key belongs to. */
+        const val ANY_REQUEST = ""
+    }
+}
