--- a/cli/src/main/kotlin/dev/baobabhollow/cli/Commands.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/Commands.kt
@@ -1,6 +1,7 @@
 package dev.baobabhollow.cli
 
 import dev.baobabhollow.cli.demo.DemoCommand
+import dev.baobabhollow.cli.faults.BenchFaultsCommand
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
 
@@ -35,7 +36,14 @@
         MovesCommand(output),
         CommandGroup("report", "Reports", output, BurnCommand(output)),
         CommandGroup("standin", "Stand-ins for tests", output, StandInLogCommand(output), StandInTargetCommand(output)),
-        CommandGroup("bench", "Load and experiments", output, BenchMovesCommand(output), BenchCallsCommand(output)),
+        CommandGroup(
+            "bench",
+            "Load and experiments",
+            output,
+            BenchMovesCommand(output),
+            BenchCallsCommand(output),
+            BenchFaultsCommand(output),
+        ),
         DemoCommand(output),
         ExerciseCommand(output),
     )
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/demo/DemoFleet.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/demo/DemoFleet.kt
@@ -37,6 +37,7 @@
     private val directory: File,
     private val policies: Map<MemberId, MovePolicySettings>,
     private val serviceMillis: Double = 2.0,
+    private val faultInjection: Boolean = false,
 ) {
     private val ports = FreePorts()
     private val addresses = HashMap<String, AddressSettings>()
@@ -49,13 +50,25 @@
     fun startNodes(
         plans: List<NodePlan>,
         log: Endpoint,
+    ): List<DemoNode> = startNodes(plans, { log })
+
+    /** Starts [plans] with their targets, each with the platform log that [logOf] returns, and with [seeds] if given. */
+    fun startNodes(
+        plans: List<NodePlan>,
+        logOf: (NodePlan) -> Endpoint,
+        seeds: List<Endpoint>? = null,
     ): List<DemoNode> {
         plans.forEach { addresses[it.name] = newAddresses() }
         val targets = plans.associateWith { startTarget(it) }
-        val seeds = plans.distinctBy { it.domain }.map { addresses.getValue(it.name).control }
-        return targets.map { (plan, target) -> startNode(plan, target.awaitEndpoint(START_MILLIS), seeds, log) }
+        val known = seeds ?: plans.distinctBy { it.domain }.map { addresses.getValue(it.name).control }
+        return targets.map { (plan, target) ->
+            startNode(plan, target.awaitEndpoint(START_MILLIS), known, logOf(plan))
+        }
     }
 
+    /** Starts the process of [node] again with the same settings. */
+    fun restart(node: DemoNode): DemoNode = DemoNode(node.settings, node.target, startProcess(node.settings))
+
     private fun startTarget(plan: NodePlan): Child {
         val options =
             StandInTargetOptions(
@@ -94,11 +107,16 @@
                         connections = plan.connections,
                     ),
                 members = policies,
+                faultInjection = faultInjection,
             )
-        val file = File(directory, "${plan.name}.json")
+        return DemoNode(settings, target, startProcess(settings))
+    }
+
+    private fun startProcess(settings: NodeSettings): Child {
+        val name = settings.node.value
+        val file = File(directory, "$name.json")
         file.writeText(ModelJson.encodeToString(settings))
-        val child = children.start(plan.name, Children.nodeFlags(), "node", "--settings", file.path)
-        return DemoNode(settings, target, child)
+        return children.start(name, Children.nodeFlags(), "node", "--settings", file.path)
     }
 
     private fun newAddresses() = AddressSettings(endpoint(), endpoint(), endpoint(), endpoint())
--- /dev/null
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/faults/Fault.kt
@@ -0,0 +1,106 @@
+package dev.baobabhollow.cli.faults
+
+import dev.baobabhollow.cli.fail
+
+/**
+ * Names a fault with what starts and ends it. [isLogUp] tells whether patches can be accepted meanwhile, [cutsPublish]
+ * whether domain b cannot get them, [hitsVictim] whether the node b2 cannot serve its callers, and [hitsDomain] whether no
+ * node of domain b can. [heal] may be called more than once.
+ */
+internal data class Fault(
+    val name: String,
+    val isLogUp: Boolean = true,
+    val cutsPublish: Boolean = false,
+    val hitsVictim: Boolean = false,
+    val hitsDomain: Boolean = false,
+    val inject: (FaultCluster) -> Unit,
+    val heal: (FaultCluster) -> Unit = {},
+)
+
+private const val NO_FAULTS = "{}"
+
+internal val FAULTS: List<Fault> =
+    listOf(
+        Fault("none", inject = {}),
+        Fault("kill of a node", hitsVictim = true, inject = { it.kill(it.victim) }, heal = ::restartVictim),
+        Fault(
+            "freeze of a node",
+            hitsVictim = true,
+            inject = { it.signal(it.victim, "STOP") },
+            heal = { it.signal(it.victim, "CONT") },
+        ),
+        Fault(
+            "herd restart of a domain with empty memory",
+            hitsDomain = true,
+            inject = { cluster ->
+                val herd = cluster.faulty
+                herd.forEach(cluster::kill)
+                herd.forEach(cluster::restart)
+            },
+        ),
+        targetFault("freeze of a target", "{\"freeze\":true}"),
+        targetFault("target that truncates answers", "{\"truncatePermille\":500}"),
+        targetFault("target that closes without an answer", "{\"closePermille\":500}"),
+        logFault("platform log outage", "{\"outage\":true}", isLogUp = false),
+        logFault("slow platform log", "{\"slowMillis\":400}"),
+        logFault("answers of the platform log lost after effect", "{\"loseAnswersPermille\":500}"),
+        Fault("platform log trimmed of all records", inject = ::trimLog),
+        Fault(
+            "domain cut off from the platform",
+            inject = { it.relay.isCut = true },
+            heal = { it.relay.isCut = false },
+        ),
+        Fault("domains cut off from each other", inject = ::cutDomains, heal = ::joinDomains),
+        Fault(
+            "domain cut off from the platform and the other domain",
+            cutsPublish = true,
+            inject = {
+                it.relay.isCut = true
+                cutDomains(it)
+            },
+            heal = {
+                it.relay.isCut = false
+                joinDomains(it)
+            },
+        ),
+    )
+
+private fun targetFault(
+    name: String,
+    body: String,
+) = Fault(
+    name,
+    inject = { it.post(it.victim.target, "/faults", body) },
+    heal = { it.post(it.victim.target, "/faults", NO_FAULTS) },
+)
+
+private fun logFault(
+    name: String,
+    body: String,
+    isLogUp: Boolean = true,
+) = Fault(
+    name,
+    isLogUp = isLogUp,
+    inject = { it.post(it.log, "/faults", body) },
+    heal = { it.post(it.log, "/faults", NO_FAULTS) },
+)
+
+private fun restartVictim(cluster: FaultCluster) {
+    if (!cluster.victim.child.process.isAlive) cluster.restart(cluster.victim)
+}
+
+private fun trimLog(cluster: FaultCluster) {
+    val end = (cluster.status(cluster.healthy.first())?.offset ?: fail("no status of a healthy node")) + 1
+    cluster.post(cluster.log, "/trim", "{\"stream\":\"configuration\",\"beforeOffset\":$end}")
+}
+
+private fun cutDomains(cluster: FaultCluster) {
+    cluster.nodes.forEach { node ->
+        val other = if (node.domain == HEALTHY_DOMAIN) FAULTY_DOMAIN else HEALTHY_DOMAIN
+        val body = "{\"dropControl\":[\"$other\"],\"dropCalls\":[\"$other\"]}"
+        cluster.post(node.operator, "/faults", body)
+    }
+}
+
+private fun joinDomains(cluster: FaultCluster) =
+    cluster.nodes.forEach { cluster.post(it.operator, "/faults", NO_FAULTS) }
