--- a/cli/src/main/kotlin/dev/baobabhollow/cli/demo/LoadGenerator.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/demo/LoadGenerator.kt
@@ -50,12 +50,13 @@
 
 /**
  * Sends calls at a fixed rate whether or not earlier ones have ended, to [entries] in turn, and checks that each answer
- * belongs to its request.
+ * belongs to its request. Targets count executions by request identifier, so each generator needs an [idPrefix] of its own.
  */
 internal class LoadGenerator(
     entries: List<Endpoint>,
     private val routes: List<LoadRoute>,
     private val callsPerSecond: Int,
+    private val idPrefix: String = "demo",
 ) {
     private val threads =
         Executors.newFixedThreadPool(2, ThreadFactory { Thread(it, "load-answers").apply { isDaemon = true } })
@@ -107,7 +108,7 @@
     }
 
     private fun call(number: Long) {
-        val id = "demo-$number"
+        val id = "$idPrefix-$number"
         val route = drawRoute()
         val current = entries
         val builder =
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/faults/FaultStep.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/faults/FaultStep.kt
@@ -76,7 +76,8 @@
             LoadRoute("/once/keyed", "s", 20, isOnce = true, hasKey = true),
             LoadRoute("/once/plain", "s", 20, isOnce = true),
         )
-    val load = LoadGenerator(usable(cluster, fault).map { it.settings.addresses.callers }, routes, CALLS_PER_SECOND)
+    val entries = usable(cluster, fault).map { it.settings.addresses.callers }
+    val load = LoadGenerator(entries, routes, CALLS_PER_SECOND, idPrefix = "faults-${System.currentTimeMillis()}")
     load.start()
     cluster.awaitUntil(System.currentTimeMillis() + LOAD_MILLIS) { false }
     fault.heal(cluster)
