--- a/cli/src/main/kotlin/dev/baobabhollow/cli/demo/DemoPlan.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/demo/DemoPlan.kt
@@ -27,8 +27,8 @@
     val GOOD_MOVE = MoveId("sheets-to-2")
     val BAD_MOVE = MoveId("vitrina-to-2")
 
-    /** Share of calls that the bad release fails. Below 500, so that its health endpoint still says "ok". */
-    private const val BAD_ERROR_PERMILLE = 400
+    /** Share of calls that the bad release fails, while its health endpoint says "ok". */
+    private const val BAD_ERROR_PERMILLE = 600
     const val COMPLETE_AFTER_MILLIS = 24_000L
     const val WATCH_AFTER_MILLIS = 25_000L
 
@@ -50,9 +50,9 @@
     private val fastPolicy =
         MovePolicySettings(
             rampPermille = listOf(10, 150, 500),
-            provenCalls = 12,
+            provenCalls = 16,
             provenRouteCalls = 4,
-            minProvenCalls = 4,
+            minProvenCalls = 8,
             stepCalls = 60,
             stepMillis = 1_500,
         )
@@ -106,15 +106,19 @@
         listOf(
             LoadRoute("/vitrina/catalogue", "vitrina", 40),
             LoadRoute("/sheets/morning", "sheets", 50),
-            LoadRoute("/pedidos/orders", "pedidos", 5, isOnce = true),
+            LoadRoute("/pedidos/orders", "pedidos", 5, isOnce = true, hasKey = true),
             LoadRoute("/lots/locks", "lots", 5, isOnce = true),
         )
 }
 
-/** States a path that the load generator calls, the service that must answer and its share of the calls. */
+/**
+ * States a path that the load generator calls, the service that must answer and its share of the calls. Calls that must run
+ * at most once ([isOnce]) have a caller-made idempotency key if [hasKey] is set.
+ */
 internal data class LoadRoute(
     val path: String,
     val service: String,
     val percent: Int,
     val isOnce: Boolean = false,
+    val hasKey: Boolean = false,
 )
