--- a/cli/src/main/kotlin/dev/baobabhollow/cli/MovesCommand.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/MovesCommand.kt
@@ -48,7 +48,7 @@
     return listOf(
         document.move.value,
         document.member?.value ?: "-",
-        document.movePriority?.name?.lowercase() ?: "-",
+        document.movePriority?.let(::priorityText) ?: "-",
         state.plan.service.value,
         state.plan.from.value,
         state.plan.to.value,
