--- a/cli/src/test/kotlin/dev/baobabhollow/cli/NodeProcessesSpec.kt
+++ b/cli/src/test/kotlin/dev/baobabhollow/cli/NodeProcessesSpec.kt
@@ -21,8 +21,8 @@
 import dev.baobabhollow.platformlog.HttpPlatformLog
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
-import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.collections.shouldBeIn
+import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import java.nio.file.Files
