--- a/cli/src/main/kotlin/dev/baobabhollow/cli/faults/Fault.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/faults/Fault.kt
@@ -17,7 +17,11 @@
     val heal: (FaultCluster) -> Unit = {},
 )
 
-private const val NO_FAULTS = "{}"
+private const val NO_NODE_FAULTS = "{}"
+
+// Stand-ins change only the faults that are named.
+private const val NO_TARGET_FAULTS = "{\"freeze\":false,\"truncatePermille\":0,\"closePermille\":0}"
+private const val NO_LOG_FAULTS = "{\"outage\":false,\"slowMillis\":0,\"loseAnswersPermille\":0}"
 
 internal val FAULTS: List<Fault> =
     listOf(
@@ -71,7 +75,7 @@
 ) = Fault(
     name,
     inject = { it.post(it.victim.target, "/faults", body) },
-    heal = { it.post(it.victim.target, "/faults", NO_FAULTS) },
+    heal = { it.post(it.victim.target, "/faults", NO_TARGET_FAULTS) },
 )
 
 private fun logFault(
@@ -82,7 +86,7 @@
     name,
     isLogUp = isLogUp,
     inject = { it.post(it.log, "/faults", body) },
-    heal = { it.post(it.log, "/faults", NO_FAULTS) },
+    heal = { it.post(it.log, "/faults", NO_LOG_FAULTS) },
 )
 
 private fun restartVictim(cluster: FaultCluster) {
@@ -103,4 +107,4 @@
 }
 
 private fun joinDomains(cluster: FaultCluster) =
-    cluster.nodes.forEach { cluster.post(it.operator, "/faults", NO_FAULTS) }
+    cluster.nodes.forEach { cluster.post(it.operator, "/faults", NO_NODE_FAULTS) }
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/faults/FaultStep.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/faults/FaultStep.kt
@@ -24,6 +24,7 @@
 
 private const val IN_FORCE_MILLIS = 13_000L
 private const val REFUSAL_MILLIS = 3_000L
+private const val STATS_MILLIS = 10_000L
 private const val LOAD_MILLIS = 2_500L
 private const val CALLS_PER_SECOND = 80
 private const val MOVE_MILLIS = 60_000L
@@ -87,17 +88,25 @@
 
 private fun executions(cluster: FaultCluster): Map<String, Int> =
     cluster.nodes
-        .map {
-            OperatorJson.decodeFromString<TargetStats>(
-                cluster.operators
-                    .text(it.target, "/stats")
-                    .get()
-                    .orEmpty(),
-            )
-        }.flatMap { it.executionsByRequestId.entries }
+        .flatMap { statsOf(cluster, it).executionsByRequestId.entries }
         .groupBy({ it.key }, { it.value })
         .mapValues { it.value.sum() }
 
+/** Reads the counts of the target beside [node], which may need a moment after its fault has ended. */
+private fun statsOf(
+    cluster: FaultCluster,
+    node: DemoNode,
+): TargetStats {
+    var text: String? = null
+    cluster.awaitUntil(System.currentTimeMillis() + STATS_MILLIS) {
+        text = cluster.operators.text(node.target, "/stats").get()
+        text != null
+    }
+    return OperatorJson.decodeFromString(
+        text ?: throw StepBroken("the target of ${node.settings.node} gives no counts"),
+    )
+}
+
 private fun judge(
     calls: List<CallRecord>,
     executions: Map<String, Int>,
