--- a/calls/src/main/kotlin/dev/baobabhollow/calls/ClaimBook.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/ClaimBook.kt
@@ -5,6 +5,7 @@
 import dev.baobabhollow.model.LogEntry
 import dev.baobabhollow.model.NO_OFFSET
 import java.util.TreeMap
+import java.util.TreeSet
 
 /**
  * Longest time by the log's clock from a claim to its key's deadline, in milliseconds. Earlier claims never win. It
@@ -43,12 +44,15 @@
         var isCertain = false
 
         // A claim may take effect after its claimant, who got no answer, has released it.
-        val released = HashSet<String>(1)
+        var released: Set<String> = emptySet()
     }
 
     private val keys = HashMap<String, KeyState>()
     private val byDeadline = TreeMap<Long, MutableList<String>>()
     private var completeSinceMillis = Long.MIN_VALUE
+
+    // Deadlines, in seconds, of keys that had no room. A key's deadline never changes, so other keys stay decidable.
+    private val droppedDeadlines = TreeSet<Long>()
     private var logMillis = Long.MIN_VALUE
     private var hasGap = false
 
@@ -103,7 +107,8 @@
         val state = stateOf(claim) ?: return
         if (state.holder != null || claim.claimant in state.released) return
         state.holder = claim.claimant
-        state.isCertain = earliestMillis >= completeSinceMillis
+        val isDropped = claim.keyDeadlineMillis / MILLIS_PER_SECOND in droppedDeadlines
+        state.isCertain = earliestMillis >= completeSinceMillis && !isDropped
     }
 
     private fun release(claim: KeyClaim) {
@@ -126,7 +131,7 @@
         val known = keys[claim.key]
         if (known != null) return known
         if (keys.size >= maxKeys) {
-            completeSinceMillis = logMillis + 1
+            droppedDeadlines += claim.keyDeadlineMillis / MILLIS_PER_SECOND
             return null
         }
         byDeadline.getOrPut(claim.keyDeadlineMillis, ::mutableListOf).add(claim.key)
@@ -137,9 +142,11 @@
         val expired = byDeadline.headMap(logMillis, true)
         expired.values.forEach { texts -> texts.forEach(keys::remove) }
         expired.clear()
+        droppedDeadlines.headSet(logMillis / MILLIS_PER_SECOND).clear()
     }
 
     private companion object {
         const val DEFAULT_MAX_KEYS = 50_000
+        const val MILLIS_PER_SECOND = 1_000L
     }
 }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/claims/ClaimPartitionLog.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/claims/ClaimPartitionLog.kt
@@ -14,7 +14,7 @@
 /** Reads the claims stream of one partition into a book. Confined to the claims thread. */
 internal class ClaimPartitionLog(
     partition: Int,
-    partitions: Int,
+    settings: ClaimsSettings,
     private val log: PlatformLog,
     private val nowMillis: () -> Long,
 ) {
@@ -22,7 +22,7 @@
     val stream: StreamName = StreamName.claims(partition)
 
     /** Claims read so far. */
-    val book = ClaimBook(partition, partitions)
+    val book = ClaimBook(partition, settings.partitions, settings.maxKeysPerPartition)
 
     /**
      * Reads the stream through its present end. Returns true when the log keeps none of the records it has had, so that
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/claims/ClaimsSettings.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/claims/ClaimsSettings.kt
@@ -10,6 +10,7 @@
  * @property maxPendingReleases releases that wait for the log; a release above this is lost and its key stays blocked
  * until its deadline
  * @property maxBackoffMillis longest time between two attempts to reach a log that is down
+ * @property maxKeysPerPartition unexpired keys of the whole fleet that a node remembers; more are not run
  */
 data class ClaimsSettings(
     val partitions: Int = 4,
@@ -19,4 +20,5 @@
     val timeoutMillis: Long = 2_000,
     val maxPendingReleases: Int = 16_384,
     val maxBackoffMillis: Long = 2_000,
+    val maxKeysPerPartition: Int = 50_000,
 )
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/claims/ClaimsWriter.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/claims/ClaimsWriter.kt
@@ -25,7 +25,7 @@
 ) {
     private val logger = LogManager.getLogger()
     private val partitions =
-        List(settings.partitions) { ClaimPartitionLog(it, settings.partitions, log, nowMillis) }
+        List(settings.partitions) { ClaimPartitionLog(it, settings, log, nowMillis) }
     private val releases = PendingReleases(settings.maxPendingReleases) { counters.lostReleaseAdder.increment() }
     private var waiting = emptyList<ClaimRequest>()
     private var sequence = 0L
