--- a/cli/src/main/kotlin/dev/baobabhollow/cli/demo/LoadGenerator.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/demo/LoadGenerator.kt
@@ -50,12 +50,13 @@
 
 /**
  * Sends calls at a fixed rate whether or not earlier ones have ended, to [entries] in turn, and checks that each answer
- * belongs to its request.
+ * belongs to its request. Targets count executions by request identifier, so each generator needs an [idPrefix] of its own.
  */
 internal class LoadGenerator(
     entries: List<Endpoint>,
     private val routes: List<LoadRoute>,
     private val callsPerSecond: Int,
+    private val idPrefix: String = "demo",
 ) {
     private val threads =
         Executors.newFixedThreadPool(2, ThreadFactory { Thread(it, "load-answers").apply { isDaemon = true } })
@@ -107,7 +108,7 @@
     }
 
     private fun call(number: Long) {
-        val id = "demo-$number"
+        val id = "$idPrefix-$number"
         val route = drawRoute()
         val current = entries
         val builder =
@@ -115,8 +116,9 @@
                 .newBuilder(URI("http://${current[(number % current.size).toInt()]}${route.path}"))
                 .timeout(TIMEOUT)
                 .header("x-request-id", id)
-        if (route.isOnce) builder.POST(HttpRequest.BodyPublishers.ofString("body of $id"))
         val sentAtMillis = System.currentTimeMillis()
+        if (route.isOnce) builder.POST(HttpRequest.BodyPublishers.ofString("body of $id"))
+        if (route.hasKey) builder.header("idempotency-key", "${sentAtMillis + KEY_MILLIS}-$id")
         val startNanos = System.nanoTime()
         inFlight.incrementAndGet()
         http.sendAsync(builder.build(), HttpResponse.BodyHandlers.ofString()).whenComplete { response, failure ->
@@ -165,6 +167,9 @@
 
     private companion object {
         const val SEED = 7
+
+        /** Time for which the keys of calls are valid. */
+        const val KEY_MILLIS = 60_000L
         const val SERVER_ERROR = 500
         const val SHOWN = 120
         const val WAIT_NANOS = 5_000_000L
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/SequentialMoveJudge.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/SequentialMoveJudge.kt
@@ -5,7 +5,6 @@
 import dev.baobabhollow.model.MovePhase
 import dev.baobabhollow.model.MoveState
 import dev.baobabhollow.model.OutcomeSummary
-import kotlin.math.ln
 
 /** Creates a judge for [move]. The judge learns the plan from the first call of [MoveJudge.decide]. */
 fun moveJudge(
@@ -33,6 +32,7 @@
     private var fault: MoveDecision.TakeBack? = null
     private var stage = -1
     private var callsAtStage = 0L
+    private var watchesSinceMillis = 0L
 
     override fun observe(summary: OutcomeSummary) {
         val known = session
@@ -46,7 +46,7 @@
         nowMillis: Long,
     ): MoveDecision {
         if (move.phase.isFinal) return MoveDecision.Hold("move $id is over")
-        val current = session ?: openSession(move)
+        val current = session ?: openSession(move, nowMillis)
         fault?.let { return it }
         current.evidence.investUntil(elapsedShare(move, nowMillis))
         current.comparison.advance(move.sharePermille, nowMillis)
@@ -62,9 +62,13 @@
         }
     }
 
-    private fun openSession(move: MoveState): Session {
+    private fun openSession(
+        move: MoveState,
+        nowMillis: Long,
+    ): Session {
+        watchesSinceMillis = nowMillis
         val intake = OutcomeIntake(move.plan, policy)
-        val evidence = FaultEvidence(policy, intake.references)
+        val evidence = FaultEvidence(policy, intake.references, move.evidence)
         val opened = Session(intake, evidence, OutcomeComparison(policy, intake, evidence))
         early.forEach(intake::add)
         early.clear()
@@ -115,10 +119,9 @@
         val routeCalls =
             session.intake.references.keys
                 .associateWith { session.intake.newCalls[it] ?: 0L }
-        val isSuspect = assessment.logEvidence >= ln(SUSPECT_EVIDENCE)
-        val suspicion = assessment.strongest?.describe().takeIf { isSuspect }
         val timedCalls = session.intake.timedCalls
-        val rampEvidence = RampEvidence(calls, calls - callsAtStage, timedCalls, routeCalls, suspicion)
+        val rampEvidence =
+            RampEvidence(calls, calls - callsAtStage, timedCalls, routeCalls, assessment, watchesSinceMillis)
         return when (
             val step =
                 ramp.next(
@@ -155,8 +158,5 @@
 
         /** Time for which arrived summaries are remembered, so that repeats count once. */
         const val MEMORY_MILLIS = 120_000L
-
-        /** Evidence at which the share rises no further; a good release reaches it with a probability of at most 1/20. */
-        const val SUSPECT_EVIDENCE = 20.0
     }
 }
--- a/moves/src/test/kotlin/dev/baobabhollow/moves/MoveJudgeSpec.kt
+++ b/moves/src/test/kotlin/dev/baobabhollow/moves/MoveJudgeSpec.kt
@@ -46,11 +46,12 @@
                     moves.forEach { highestShare(it) shouldBeLessThanOrEqual MovePolicy.UNPROVEN_PERMILLE }
                 }
 
-                // Guards against good outcomes early on that outweigh a later fault.
+                // Guards against good outcomes early on that outweigh a later fault for more than 4 s.
                 it("takes back a release that begins to fail while the move is watched") {
                     val moves = runAll(priority) { if (it.isNew && it.second > 125) Weather(0.15) else Weather() }
                     shouldAllBeTakenBack(moves, "errors")
                     moves.forEach { move -> move.stages.map { it.phase } shouldContain MovePhase.WATCHING }
+                    moves.forEach { it.state.stageAtMillis shouldBeLessThan PLAN.startAtMillis + 131_000 }
                 }
 
                 // Guards against a comparison that stops when the old release has few calls.
@@ -81,6 +82,13 @@
                     shouldAllBeTakenBack(moves, "errors")
                 }
 
+                // Guards against a comparison with earlier outcomes alone, whose limit an often failing service widens.
+                it("takes back at a low share a release that fails more than an old one that fails often") {
+                    val moves = runAll(priority) { if (it.isNew) Weather(errors = 0.5) else Weather(errors = 0.2) }
+                    shouldAllBeTakenBack(moves, "errors")
+                    moves.forEach { highestShare(it) shouldBeLessThanOrEqual 50 }
+                }
+
                 it("finishes a good release in time") {
                     shouldAllBeDoneInTime(runAll(priority) { Weather() })
                 }
