--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/claims/ClaimsWriter.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/claims/ClaimsWriter.kt
@@ -69,7 +69,7 @@
         val byPartition = current.groupBy { partitionOf(it.hold.key.text, settings.partitions) }
         partitions.indices.forEach { index ->
             val freed = releases.select(settings.maxBatch, nowMillis()) { isIn(index, it) }
-            val claims = byPartition[index].orEmpty()
+            val claims = admit(partitions[index], byPartition[index].orEmpty())
             if (claims.isNotEmpty() || freed.isNotEmpty()) append(partitions[index], claims, freed)
         }
     }
@@ -91,6 +91,17 @@
         waiting = emptyList()
     }
 
+    // A full book decides nothing, so claims stop before it is full; one in each append still brings in the log's time.
+    private fun admit(
+        partition: ClaimPartitionLog,
+        requests: List<ClaimRequest>,
+    ): List<ClaimRequest> {
+        val room = settings.maxKeysPerPartition / FULL_PARTS * (FULL_PARTS - 1) - partition.book.size
+        val (admitted, refused) = requests.withIndex().partition { it.index < maxOf(1, room) }
+        refused.forEach { notRun(it.value, "too many keys are claimed in the fleet") }
+        return admitted.map { it.value }
+    }
+
     private fun isIn(
         partition: Int,
         hold: KeyHold,
@@ -228,6 +239,7 @@
 
     private companion object {
         const val IDLE_MILLIS = 1_000L
+        const val FULL_PARTS = 10
         const val FIRST_BACKOFF_MILLIS = 50L
         const val MAX_DOUBLINGS = 10
     }
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/claims/LogClaimsSpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/claims/LogClaimsSpec.kt
@@ -165,6 +165,17 @@
                 }
             }
 
+            // Guards against an overload that fills the book, after which no claim at all could be decided.
+            it("are refused without a claim in the log when nearly all room for keys is taken") {
+                val settings = ClaimsSettings(partitions = 1, lingerMillis = 50, maxKeysPerPartition = 100)
+                node(InMemoryLog(), "a", settings).use { claims ->
+                    val results = (1..300).map { claims.start(newKey("k$it")) }.map { it.await() }
+                    val wins = results.count { it is ClaimResult.Won }
+                    (wins in 90..99) shouldBe true
+                    claims.start(newKey("next")).await().shouldBeInstanceOf<ClaimResult.Won>()
+                }
+            }
+
             it("wait for the append rate limit, but not past their deadline") {
                 val log = InMemoryLog()
                 var refusals = 1
