--- a/moves/src/test/kotlin/dev/baobabhollow/moves/MoveJudgeDeliverySpec.kt
+++ b/moves/src/test/kotlin/dev/baobabhollow/moves/MoveJudgeDeliverySpec.kt
@@ -7,6 +7,7 @@
 import dev.baobabhollow.model.MoveState
 import dev.baobabhollow.model.NodeId
 import dev.baobabhollow.model.OutcomeSummary
+import dev.baobabhollow.model.ReleaseId
 import dev.baobabhollow.model.RouteId
 import dev.baobabhollow.model.ServiceId
 import io.kotest.core.spec.style.DescribeSpec
@@ -159,7 +160,11 @@
                 val move = failing(10).run()
                 val before = move.stages[move.stages.size - 2]
                 val now = move.state.stageAtMillis + 5_000
-                repeat(50) { move.judge.observe(summary(calls = 1_000, errors = 0, now - 3_000 + it)) }
+                repeat(50) {
+                    val endsAtMillis = now - 3_000 + it
+                    move.judge.observe(summary(calls = 1_000, errors = 0, endsAtMillis, "main"))
+                    move.judge.observe(summary(calls = 1_000, errors = 50, endsAtMillis, "main", PLAN.from))
+                }
                 move.judge.decide(before, now).shouldBeInstanceOf<MoveDecision.TakeBack>()
                 move.judge.decide(move.state, now).shouldBeInstanceOf<MoveDecision.Hold>()
             }
@@ -171,12 +176,13 @@
     errors: Long,
     endsAtMillis: Long,
     route: String = "main",
+    release: ReleaseId = PLAN.to,
 ) = OutcomeSummary(
     NodeId("n"),
     FailureDomainId("d"),
     PLAN.service,
     RouteId(route),
-    PLAN.to,
+    release,
     endsAtMillis,
     calls,
     errors,
