--- a/cli/src/main/kotlin/dev/baobabhollow/cli/Commands.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/Commands.kt
@@ -35,7 +35,15 @@
         MovesCommand(output),
         CommandGroup("report", "Reports", output, BurnCommand(output)),
         CommandGroup("standin", "Stand-ins for tests", output, StandInLogCommand(output), StandInTargetCommand(output)),
-        CommandGroup("bench", "Load and experiments", output, BenchMovesCommand(output), BenchCallsCommand(output)),
+        CommandGroup(
+            "bench",
+            "Load and experiments",
+            output,
+            BenchMovesCommand(output),
+            BenchCallsCommand(output),
+            BenchDistributionCommand(output),
+            BenchClaimsCommand(output),
+        ),
         DemoCommand(output),
         ExerciseCommand(output),
     )
