--- a/cli/src/main/kotlin/dev/baobabhollow/cli/Commands.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/Commands.kt
@@ -43,6 +43,8 @@
             BenchMovesCommand(output),
             BenchCallsCommand(output),
             BenchFaultsCommand(output),
+            BenchDistributionCommand(output),
+            BenchClaimsCommand(output),
         ),
         DemoCommand(output),
         ExerciseCommand(output),
