--- a/bench/src/main/kotlin/dev/baobabhollow/bench/claims/ClaimsBench.kt
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/claims/ClaimsBench.kt
@@ -20,7 +20,12 @@
 import java.util.concurrent.atomic.LongAdder
 import kotlin.concurrent.thread
 
-/** Sets up [runClaimsBench]. Each of [nodes] keeps [callsInFlight] claims open for [millis] after a warm-up. */
+/**
+ * Sets up [runClaimsBench]. Each of [nodes] keeps [callsInFlight] claims open for [millis] after a warm-up.
+ *
+ * Keys live for 10 s. When they fill the books, one claim per append is admitted until keys expire, so a shorter run
+ * shows only that phase.
+ */
 data class ClaimsBenchOptions(
     val nodes: Int = 4,
     val callsInFlight: Int = 256,
