--- a/bench/src/main/kotlin/dev/baobabhollow/bench/moves/MovesTable.kt
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/moves/MovesTable.kt
@@ -10,7 +10,17 @@
                 "summaries every ${report.summaryMillis} ms, decisions every ${report.decisionMillis} ms",
         )
         appendLine(
-            HEADER.format("judge", "kind", "completed", "taken back", "given up", "new calls", "share", "before"),
+            HEADER.format(
+                "judge",
+                "kind",
+                "completed",
+                "taken back",
+                "given up",
+                "new calls",
+                "share",
+                "before",
+                "calls bef.",
+            ),
         )
         report.rows.forEach { row ->
             appendLine(line("decision", row.kind, row.judged))
