--- a/bench/src/main/kotlin/dev/baobabhollow/bench/calls/LoadGenerator.kt
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/calls/LoadGenerator.kt
@@ -75,12 +75,20 @@
             lane.loop.execute { lane.send(port, dueNanos) }
             count++
         }
-        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(deadlineMillis + SETTLE_MILLIS))
+        awaitAnswers(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(deadlineMillis + SETTLE_MILLIS))
         val result = LoadResult()
         lanes.forEach { lane -> lane.call { result.add(finish()) } }
         return result
     }
 
+    /** Waits until no call is in flight, at most until [limitNanos]. */
+    private fun awaitAnswers(limitNanos: Long) {
+        while (System.nanoTime() < limitNanos) {
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(SETTLE_MILLIS))
+            if (lanes.all { lane -> lane.isIdle() }) return
+        }
+    }
+
     private fun waitUntil(dueNanos: Long) {
         val left = dueNanos - System.nanoTime()
         // A parked thread wakes up late, so the last part is spent spinning.
@@ -104,6 +112,8 @@
             loop.scheduleAtFixedRate({ expire() }, EXPIRE_MILLIS, EXPIRE_MILLIS, TimeUnit.MILLISECONDS)
         }
 
+        fun isIdle(): Boolean = loop.submit<Boolean> { busy.isEmpty() }.syncUninterruptibly().now
+
         fun call(action: Lane.() -> Unit) {
             loop.submit { action() }.syncUninterruptibly()
         }
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/Commands.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/Commands.kt
@@ -1,5 +1,6 @@
 package dev.baobabhollow.cli
 
+import dev.baobabhollow.cli.capacity.CapacityCommand
 import dev.baobabhollow.cli.demo.DemoCommand
 import dev.baobabhollow.cli.faults.BenchFaultsCommand
 import kotlinx.cli.ArgParser
@@ -34,7 +35,7 @@
         StatusCommand(output),
         VersionsCommand(output),
         MovesCommand(output),
-        CommandGroup("report", "Reports", output, BurnCommand(output)),
+        CommandGroup("report", "Reports", output, BurnCommand(output), CapacityCommand(output)),
         CommandGroup("standin", "Stand-ins for tests", output, StandInLogCommand(output), StandInTargetCommand(output)),
         CommandGroup(
             "bench",
