--- a/cli/src/main/kotlin/dev/baobabhollow/cli/capacity/CapacityLine.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/capacity/CapacityLine.kt
@@ -102,7 +102,9 @@
     valueOf: (DistributionRow) -> Double,
 ): CapacityLine {
     val line = fitLine(rows.map { it.nodes.toDouble() to valueOf(it) })
-    return CapacityLine(role, figure, line.at(PlannedSize.NODES.toDouble()), limit, line.slope, line.error, mechanism)
+    // A falling line says that a fixed cost was shared by more nodes; below the measured figures it means nothing.
+    val value = maxOf(line.at(PlannedSize.NODES.toDouble()), rows.maxOf(valueOf))
+    return CapacityLine(role, figure, value, limit, line.slope, line.error, mechanism)
 }
 
 /** Holds a least-squares line and its root mean square [error]. */
