--- a/calls/src/main/kotlin/dev/baobabhollow/calls/Admission.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/Admission.kt
@@ -19,12 +19,17 @@
     DRAINING,
 }
 
-/** Asks for a slot until [deadlineMillis]. */
+/**
+ * Asks for a slot until [deadlineMillis]. Calls of a lower [rank] are served first. An answer after [usefulUntilMillis] is
+ * worth little, so such a call only waits while hardly any others do.
+ */
 data class SlotRequest(
     val member: MemberId,
     val route: RouteId,
     val callClass: CallClass,
     val deadlineMillis: Long,
+    val rank: Int = callClass.ordinal,
+    val usefulUntilMillis: Long = deadlineMillis,
 )
 
 /**
@@ -55,7 +60,7 @@
     private var holdingUploads = 0
     private var isDraining = false
     private var serviceMicros = settings.initialServiceMicros.toDouble()
-    private val classServiceMicros = DoubleArray(CallClass.entries.size) { settings.initialServiceMicros.toDouble() }
+    private val routeServiceMicros = HashMap<RouteId, Double>()
 
     /** Number of calls that hold a slot. */
     @get:Synchronized
@@ -151,15 +156,22 @@
         if (isDraining) return Refusal.DRAINING
         if (nowMillis >= request.deadlineMillis) return Refusal.DEADLINE_PASSED
         if (holding + queue.size < slots) return null
-        val ahead = queue.countAhead(request.callClass) + 1
-        val waitMicros = ahead * serviceMicros / slots
-        val ownMicros = classServiceMicros[request.callClass.ordinal]
+        val waitMicros = waitMicros(queue.countAhead(request) + 1)
+        val ownMicros = routeServiceMicros[request.route] ?: serviceMicros
         // An answer after the deadline is as useless as none, so the call's own time at the target counts too. A call that
         // finds a free slot always runs; else a single slow spell could refuse all calls that would show its end.
         val endMillis = nowMillis + (waitMicros + ownMicros) / MICROS_PER_MILLI
-        return if (endMillis > request.deadlineMillis) Refusal.WAIT_TOO_LONG else null
+        val lateLimit = slots * settings.lateQueuePermille / FULL_PERMILLE
+        val untilMillis = if (queue.size < lateLimit) request.deadlineMillis else request.usefulUntilMillis
+        return if (endMillis > untilMillis) Refusal.WAIT_TOO_LONG else null
     }
 
+    private fun waitMicros(ahead: Int): Double = ahead * serviceMicros / slots
+
+    /** Returns the time in milliseconds after which a call that was refused now would probably find room. */
+    @Synchronized
+    fun expectedRoomMillis(): Long = (waitMicros(queue.size + 1) / MICROS_PER_MILLI).toLong()
+
     private fun enqueue(
         ticket: Ticket,
         nowMillis: Long,
@@ -203,9 +215,9 @@
         if (ticket.request.callClass == CallClass.UPLOAD) holdingUploads--
         val held = (nowMicros - ticket.grantedMicros).coerceAtLeast(0)
         if (!isMeasured) return
-        val index = ticket.request.callClass.ordinal
+        val ofRoute = routeServiceMicros[ticket.request.route] ?: serviceMicros
         serviceMicros += (held - serviceMicros) * SERVICE_TIME_WEIGHT
-        classServiceMicros[index] += (held - classServiceMicros[index]) * SERVICE_TIME_WEIGHT
+        routeServiceMicros[ticket.request.route] = ofRoute + (held - ofRoute) * SERVICE_TIME_WEIGHT
     }
 
     private fun refuse(
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/CallSettings.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/CallSettings.kt
@@ -12,8 +12,23 @@
     val slowStartPermille: Int = 100,
     /** Time in which an observed latency or reported load loses half of its weight. */
     val observationHalfLifeMillis: Long = 2_000,
+    /** How a target is chosen. */
+    val placement: Placement = Placement.LOCAL_FIRST,
+    /** Latency that a target of another failure domain costs beside its own, for the bytes between domains. */
+    val remoteMicros: Long = 5_000,
+    /** Time without any answer from a target with calls in flight after which it gets no further ones. */
+    val silenceMillis: Long = 1_500,
 )
 
+/** Names the ways of choosing a target. */
+enum class Placement {
+    /** Prefers the own failure domain until its targets are loaded. */
+    LOCAL_FIRST,
+
+    /** Chooses the target that will probably answer first. Suits services with few targets of unequal speed. */
+    SHORTEST_WAIT,
+}
+
 /** Configures ejection of targets whose calls fail. */
 data class OutlierSettings(
     val consecutiveFailures: Int = 5,
@@ -44,4 +59,6 @@
     val uploadSlotsPermille: Int = 500,
     /** Service time assumed before the first call has finished. */
     val initialServiceMicros: Long = 5_000,
+    /** Queue length, in permille of the slots, below which calls also wait that will end too late to be worth much. */
+    val lateQueuePermille: Int = 500,
 )
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/FairQueue.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/FairQueue.kt
@@ -3,32 +3,55 @@
 import dev.baobabhollow.model.CallClass
 import dev.baobabhollow.model.MemberId
 import dev.baobabhollow.model.RouteId
+import java.util.TreeMap
 
 /**
- * Queues tickets: lookups before uploads, and within a class in turns between members and between the routes of a member.
- * Not safe for use by several threads.
+ * Queues tickets by rank, within a rank lookups before uploads, and among these in turns between members and between the
+ * routes of a member. Not safe for use by several threads.
  */
 internal class FairQueue {
-    private val lookups = ClassQueue()
-    private val uploads = ClassQueue()
+    private data class QueueKey(
+        val rank: Int,
+        val callClass: CallClass,
+    ) : Comparable<QueueKey> {
+        override fun compareTo(other: QueueKey): Int = compareValuesBy(this, other, { it.rank }, { it.callClass })
+    }
 
-    val size: Int get() = lookups.size + uploads.size
+    private val queues = TreeMap<QueueKey, ClassQueue>()
 
-    fun add(ticket: Ticket) = queueOf(ticket.request.callClass).add(ticket)
+    var size = 0
+        private set
 
-    fun remove(ticket: Ticket) = queueOf(ticket.request.callClass).remove(ticket)
+    fun add(ticket: Ticket) {
+        queues.getOrPut(keyOf(ticket.request)) { ClassQueue() }.add(ticket)
+        size++
+    }
 
-    fun poll(uploadsAllowed: Boolean): Ticket? = lookups.poll() ?: if (uploadsAllowed) uploads.poll() else null
+    fun remove(ticket: Ticket) {
+        if (queues[keyOf(ticket.request)]?.remove(ticket) == true) size--
+    }
+
+    fun poll(uploadsAllowed: Boolean): Ticket? {
+        for ((key, queue) in queues) {
+            if (key.callClass == CallClass.UPLOAD && !uploadsAllowed) continue
+            return queue.poll()?.also { size-- } ?: continue
+        }
+        return null
+    }
 
-    fun countAhead(callClass: CallClass): Int = if (callClass == CallClass.LOOKUP) lookups.size else size
+    /** Counts the tickets that are served before a new one for [request]. */
+    fun countAhead(request: SlotRequest): Int = queues.headMap(keyOf(request), true).values.sumOf { it.size }
 
-    /** Removes the newest ticket of the longest flow, from the uploads if there are any. */
-    fun displace(): Ticket = if (uploads.size > 0) uploads.displace() else lookups.displace()
+    /** Removes the newest ticket of the longest flow of the last rank. */
+    fun displace(): Ticket {
+        val last = queues.descendingMap().values.first { it.size > 0 }
+        return last.displace().also { size-- }
+    }
 
     fun removeExpired(nowMillis: Long): List<Ticket> =
-        lookups.removeExpired(nowMillis) + uploads.removeExpired(nowMillis)
+        queues.values.flatMap { it.removeExpired(nowMillis) }.also { size -= it.size }
 
-    private fun queueOf(callClass: CallClass) = if (callClass == CallClass.LOOKUP) lookups else uploads
+    private fun keyOf(request: SlotRequest) = QueueKey(request.rank, request.callClass)
 }
 
 private class ClassQueue {
@@ -55,13 +78,14 @@
         return ticket
     }
 
-    fun remove(ticket: Ticket) {
-        val routes = members[ticket.request.member] ?: return
-        val flow = routes[ticket.request.route] ?: return
-        if (!flow.remove(ticket)) return
+    fun remove(ticket: Ticket): Boolean {
+        val routes = members[ticket.request.member] ?: return false
+        val flow = routes[ticket.request.route] ?: return false
+        if (!flow.remove(ticket)) return false
         size--
         if (flow.isEmpty()) routes.remove(ticket.request.route)
         if (routes.isEmpty()) members.remove(ticket.request.member)
+        return true
     }
 
     fun displace(): Ticket {
@@ -77,7 +101,7 @@
                 .flatMap { it.values }
                 .flatten()
                 .filter { nowMillis >= it.request.deadlineMillis }
-        expired.forEach(::remove)
+        expired.forEach { remove(it) }
         return expired
     }
 }
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
@@ -1,6 +1,8 @@
 package dev.baobabhollow.calls
 
 import dev.baobabhollow.membership.FleetView
+import dev.baobabhollow.model.ANNOUNCED_RELEASE
+import dev.baobabhollow.model.CallerLimits
 import dev.baobabhollow.model.ConfigurationState
 import dev.baobabhollow.model.Endpoint
 import dev.baobabhollow.model.FULL_SHARE_PERMILLE
@@ -32,14 +34,25 @@
     /** Routes by identifier. */
     val routes: Map<RouteId, Route>,
     private val targets: Map<NodeId, TargetEndpoint>,
+    /** Limits of what callers may send, if the configuration states them. */
+    val callerLimits: CallerLimits? = null,
 ) {
-    private val matcher = PrefixMatcher(routes.values.associateBy { it.config.pathPrefix })
+    private val matchers =
+        routes.values
+            .groupBy { it.config.host?.lowercase() }
+            .mapValues { (_, routes) -> PrefixMatcher(routes.associateBy { it.config.pathPrefix }) }
 
     /** Nodes whose targets the table holds. */
     val nodes: Set<NodeId> get() = targets.keys
 
-    /** Returns the route with the longest prefix of [path], or null. */
-    fun match(path: String): Route? = matcher.match(path)
+    /** Returns the route with the longest prefix of [path] among those of [host], else among those of no host, or null. */
+    fun match(
+        path: String,
+        host: String? = null,
+    ): Route? {
+        val ofHost = host?.let { matchers[it.lowercase()]?.match(path) }
+        return ofHost ?: matchers[null]?.match(path)
+    }
 
     /** Returns the target beside [node] if the table holds it. */
     fun target(node: NodeId): TargetEndpoint? = targets[node]
@@ -60,6 +73,7 @@
         ): RoutingTable {
             val selfDomain = view.nodes[view.self]?.failureDomain
             val targets = servingTargets(state, view)
+            val byService = targets.groupBy { it.service }
             val byRelease = targets.groupBy { it.service to it.release }
             val moves =
                 state.moves.entries
@@ -67,6 +81,11 @@
                     .associateBy { it.value.plan.service }
             val services =
                 state.mesh.services.mapValues { (id, config) ->
+                    if (config.initialRelease == ANNOUNCED_RELEASE) {
+                        val ordered = state.orders[id]?.move
+                        val choice = AnnouncedReleases(state.moves[ordered], ordered in heldMoves)
+                        return@mapValues choice.route(id, config, byService[id].orEmpty(), selfDomain)
+                    }
                     val current = state.currentReleases[id] ?: config.initialRelease
                     val (moveId, move) = moves[id]?.let { it.key to it.value } ?: (null to null)
                     RoutedService(
@@ -79,9 +98,10 @@
                 }
             val routes =
                 state.mesh.routes
-                    .mapNotNull { (id, config) -> services[config.service]?.let { id to Route(id, config, it) } }
+                    .mapNotNull { (id, config) -> route(id, config, services)?.let { id to it } }
                     .toMap()
-            val isReady = state.offset > NO_OFFSET
+            // An order can be read before the first configuration.
+            val isReady = state.offset > NO_OFFSET && (state.version > 0 || state.orders.isEmpty())
             return RoutingTable(
                 state.version,
                 view.revision,
@@ -89,9 +109,20 @@
                 services,
                 routes,
                 targets.associateBy { it.node },
+                state.mesh.callerLimits,
             )
         }
 
+        private fun route(
+            id: RouteId,
+            config: RouteConfig,
+            services: Map<ServiceId, RoutedService>,
+        ): Route? {
+            val first = services[config.service] ?: return null
+            val parts = config.split.map { RoutedPart(services[it.service] ?: return null, it.weight) }
+            return Route(id, config, first, parts)
+        }
+
         private fun servingTargets(
             state: ConfigurationState,
             view: FleetView,
@@ -112,7 +143,7 @@
                 )
             }
 
-        private fun releaseTargets(
+        internal fun releaseTargets(
             release: ReleaseId,
             targets: List<TargetEndpoint>?,
             selfDomain: FailureDomainId?,
@@ -128,6 +159,37 @@
     val id: RouteId,
     val config: RouteConfig,
     val service: RoutedService,
+    private val parts: List<RoutedPart> = emptyList(),
+) {
+    private val totalWeight = parts.sumOf { it.weight }
+
+    /**
+     * Returns this route with the one service that gets a call which has drawn [draw] in 0..1. A part that is short of
+     * room keeps its calls, because the weights are what the operator asked for.
+     */
+    fun forCall(draw: Double): Route {
+        if (totalWeight <= 0) return this
+        var left = draw * totalWeight
+        for (part in parts) {
+            left -= part.weight
+            if (left < 0) return Route(id, config, part.service)
+        }
+        return Route(id, config, parts.last().service)
+    }
+
+    /** Returns this route for calls to [service], or null if it does not lead there. */
+    fun to(service: ServiceId): Route? =
+        if (this.service.id == service) {
+            Route(id, config, this.service)
+        } else {
+            parts.firstOrNull { it.service.id == service }?.let { Route(id, config, it.service) }
+        }
+}
+
+/** Holds a service that gets [weight] of the calls on a route. */
+class RoutedPart(
+    val service: RoutedService,
+    val weight: Int,
 )
 
 /** Holds a service with the targets of its current release and, during a move, of the [next] one. */
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/TargetPicker.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/TargetPicker.kt
@@ -27,6 +27,7 @@
         nowMillis: Long,
         random: Random,
     ): TargetEndpoint? {
+        if (settings.placement == Placement.SHORTEST_WAIT) return shortestWait(targets, tried, nowMillis, random)
         val own = ownTarget(targets, tried, nowMillis)
         if (own != null) return own
         val local = betterOfTwo(targets.local, tried, nowMillis, random, ignoreEjection = false)
@@ -42,7 +43,7 @@
         target: TargetEndpoint,
         nowMillis: Long,
     ) {
-        stats.of(target, nowMillis).inFlight.incrementAndGet()
+        stats.of(target, nowMillis).start(nowMillis)
     }
 
     /**
@@ -57,12 +58,71 @@
     ) {
         val entry = stats.of(target, nowMillis)
         entry.inFlight.updateAndGet { (it - 1).coerceAtLeast(0) }
+        if (micros != null || loadPermille != null) entry.answered(nowMillis)
         if (micros != null) entry.observe(micros, loadPermille, nowMillis, settings)
     }
 
     /** Forgets all targets but those beside [nodes]. */
     fun retain(nodes: Set<NodeId>) = stats.retain(nodes)
 
+    /**
+     * Compares a few random targets, so that entry nodes with the same view do not all choose the same one. Targets that
+     * are ejected or silent are only used when there are no others.
+     */
+    private fun shortestWait(
+        targets: ReleaseTargets,
+        tried: Set<NodeId>,
+        nowMillis: Long,
+        random: Random,
+    ): TargetEndpoint? {
+        val untried = targets.all.filter { it.node !in tried }
+        val usable = untried.filter { outliers.isUsable(it.node, nowMillis) && !isSilent(it, nowMillis) }
+        val candidates = usable.ifEmpty { untried }
+        val compared =
+            sample(candidates.filter { isLocal(it, targets) }, LOCAL_SAMPLE, random)
+                .plus(sample(candidates, COMPARED, random))
+        val chosen =
+            compared.minByOrNull { target ->
+                val distance = if (isLocal(target, targets)) 0L else settings.remoteMicros
+                (expectedMicros(target, nowMillis) + distance) * (1 + random.nextDouble() * NOISE)
+            }
+        return chosen?.let { claimed(it, nowMillis) }
+    }
+
+    private fun isLocal(
+        target: TargetEndpoint,
+        targets: ReleaseTargets,
+    ) = targets.local.any { it.node == target.node }
+
+    private fun isSilent(
+        target: TargetEndpoint,
+        nowMillis: Long,
+    ) = stats.of(target, nowMillis).isSilent(nowMillis, settings.silenceMillis)
+
+    private fun sample(
+        targets: List<TargetEndpoint>,
+        count: Int,
+        random: Random,
+    ): List<TargetEndpoint> =
+        if (targets.size <=
+            count
+        ) {
+            targets
+        } else {
+            List(count) { targets[random.nextInt(targets.size)] }
+        }
+
+    /** Waiting begins to show well below the full load, because calls do not arrive evenly. */
+    private fun expectedMicros(
+        target: TargetEndpoint,
+        nowMillis: Long,
+    ): Double {
+        val entry = stats.of(target, nowMillis)
+        val load = entry.loadPermille(target.slots, nowMillis, settings) / FULL_PERMILLE
+        val latency = maxOf(entry.latencyMicros(nowMillis, settings), BASE_LATENCY_MICROS)
+        return latency * (1 + load * load * load) / weight(entry, nowMillis)
+    }
+
     private fun ownTarget(
         targets: ReleaseTargets,
         tried: Set<NodeId>,
@@ -171,6 +231,13 @@
     private companion object {
         const val FULL_PERMILLE = 1_000.0
 
+        /** Targets that are compared, beside those of the own failure domain. */
+        const val COMPARED = 3
+        const val LOCAL_SAMPLE = 2
+
+        /** Spreads calls over targets whose expected latencies are about equal. */
+        const val NOISE = 0.2
+
         /** Costs that differ by less count as equal; else the remains of an old observation would decide every time. */
         const val CLEARLY_LOWER = 0.9
 
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/TargetStats.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/TargetStats.kt
@@ -16,6 +16,10 @@
 ) {
     val inFlight = AtomicInteger()
 
+    /** Time of the last answer or, if nothing was in flight after it, of the first call since. */
+    @Volatile
+    private var waitsSinceMillis = firstSeenMillis
+
     @Volatile
     private var latencyMicros = 0.0
 
@@ -25,6 +29,19 @@
     @Volatile
     private var observedMillis = firstSeenMillis
 
+    fun start(nowMillis: Long) {
+        if (inFlight.getAndIncrement() == 0) waitsSinceMillis = nowMillis
+    }
+
+    fun answered(nowMillis: Long) {
+        waitsSinceMillis = nowMillis
+    }
+
+    fun isSilent(
+        nowMillis: Long,
+        silenceMillis: Long,
+    ): Boolean = inFlight.get() > 0 && nowMillis - waitsSinceMillis > silenceMillis
+
     fun observe(
         micros: Long,
         reportedLoadPermille: Int?,
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/NodeCommand.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/NodeCommand.kt
@@ -3,11 +3,15 @@
 import com.github.michaelbull.result.getOrElse
 import dev.baobabhollow.node.LOG_NODE_PROPERTY
 import dev.baobabhollow.node.Node
+import dev.baobabhollow.node.NodeSettings
+import dev.baobabhollow.node.PlatformKind
 import dev.baobabhollow.node.parseSettings
+import dev.baobabhollow.platform.ConsortiumPlatform
 import kotlinx.cli.ArgType
 import kotlinx.cli.required
 import java.io.IOException
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
 
 /** Runs a node until it gets SIGTERM or SIGINT. */
@@ -22,7 +26,7 @@
                 fail("$settings: ${errors.size} errors\n" + errors.joinToString("\n") { "  $it" })
             }
         System.setProperty(LOG_NODE_PROPERTY, parsed.node.value)
-        val node = Node(parsed)
+        val node = nodeOf(parsed)
         try {
             node.start()
         } catch (e: IOException) {
@@ -33,6 +37,15 @@
         return EXIT_DONE
     }
 
+    /** Steps of the wall clock must not end calls early, so a node of a platform whose clocks step follows a steady one. */
+    private fun nodeOf(settings: NodeSettings): Node {
+        if (settings.platform == PlatformKind.OWN) return Node(settings)
+        val startMillis = System.currentTimeMillis()
+        val startNanos = System.nanoTime()
+        val clock = { startMillis + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos) }
+        return Node(settings, clock, adapter = ConsortiumPlatform(settings.platformLog, clock))
+    }
+
     /** Ends the process with code 0 after a graceful stop; by itself the JVM would report the signal as its code. */
     private fun stopAtShutdown(node: Node) {
         val stopped = AtomicBoolean()
--- a/configuration/src/main/kotlin/dev/baobabhollow/configuration/Fold.kt
+++ b/configuration/src/main/kotlin/dev/baobabhollow/configuration/Fold.kt
@@ -2,13 +2,18 @@
 
 import com.github.michaelbull.result.fold
 import dev.baobabhollow.model.ClaimsRecord
+import dev.baobabhollow.model.ConfigurationRecord
 import dev.baobabhollow.model.ConfigurationState
 import dev.baobabhollow.model.LogEntry
+import dev.baobabhollow.model.MoveId
+import dev.baobabhollow.model.MoveOrder
+import dev.baobabhollow.model.MoveOrderRecord
 import dev.baobabhollow.model.MoveStageRecord
 import dev.baobabhollow.model.PatchRecord
 import dev.baobabhollow.model.PatchResult
 import dev.baobabhollow.model.PatchVerdict
 import dev.baobabhollow.model.SnapshotRecord
+import dev.baobabhollow.model.UnreadableRecord
 import dev.baobabhollow.model.WriterState
 
 /** Number of patch verdicts that a state keeps. */
@@ -35,6 +40,12 @@
     entry: LogEntry,
 ): ConfigurationState {
     if (entry.offset <= state.offset) return state
+    when (val body = entry.record.body) {
+        is ConfigurationRecord -> return foldConfiguration(state, entry, body)
+        is MoveOrderRecord -> return foldOrder(state, entry, body)
+        is UnreadableRecord -> return state.copy(offset = entry.offset)
+        else -> Unit
+    }
     val advanced = state.copy(offset = entry.offset, lastAppendedAtMillis = entry.appendedAtMillis)
     if (isRepeat(state, entry)) return advanced
     val seen = advanced.copy(writers = rememberWriter(state, entry))
@@ -42,10 +53,32 @@
         is PatchRecord -> foldPatch(seen, entry, body)
         is MoveStageRecord -> foldMoveStage(seen, entry, body)
         is SnapshotRecord -> seen.copy(snapshotOffset = entry.offset, snapshotAtMillis = entry.appendedAtMillis)
-        is ClaimsRecord -> seen
+        is ClaimsRecord, is ConfigurationRecord, is MoveOrderRecord, is UnreadableRecord -> seen
     }
 }
 
+/**
+ * Only the newest configuration and the newest order of each service count, so a log that keeps just the newest record of
+ * each key leads to the same state as one that keeps all of them.
+ */
+private fun foldConfiguration(
+    state: ConfigurationState,
+    entry: LogEntry,
+    record: ConfigurationRecord,
+): ConfigurationState {
+    if (record.version <= state.version) return state.copy(offset = entry.offset)
+    return state.copy(offset = entry.offset, version = record.version, mesh = record.mesh)
+}
+
+private fun foldOrder(
+    state: ConfigurationState,
+    entry: LogEntry,
+    record: MoveOrderRecord,
+): ConfigurationState {
+    val order = MoveOrder(MoveId("${record.service}/${entry.offset}"), record.release, record.durationMillis)
+    return state.copy(offset = entry.offset, orders = state.orders + (record.service to order))
+}
+
 private fun isRepeat(
     state: ConfigurationState,
     entry: LogEntry,
--- a/membership/src/main/kotlin/dev/baobabhollow/membership/CompactRecord.kt
+++ b/membership/src/main/kotlin/dev/baobabhollow/membership/CompactRecord.kt
@@ -40,6 +40,7 @@
             operatorHost,
             target?.service?.value,
             target?.release?.value,
+            target?.instance,
         )
 
     /** Returns the full record. */
@@ -88,14 +89,22 @@
     @SerialName("l") val slots: Int,
     @SerialName("k") val connections: Int,
     @SerialName("s") val status: TargetStatus = TargetStatus.SERVING,
+    @SerialName("i") val instance: String? = null,
 ) {
     /** Returns the full record. */
-    fun toRecord(): TargetRecord = TargetRecord(service, release, slots, connections, status)
+    fun toRecord(): TargetRecord = TargetRecord(service, release, slots, connections, status, instance)
 
     /** Creates compact target records. */
     companion object {
         /** Returns the compact form of [target]. */
         fun of(target: TargetRecord): CompactTarget =
-            CompactTarget(target.service, target.release, target.slots, target.connections, target.status)
+            CompactTarget(
+                target.service,
+                target.release,
+                target.slots,
+                target.connections,
+                target.status,
+                target.instance,
+            )
     }
 }
--- a/model/src/main/kotlin/dev/baobabhollow/model/ConfigurationState.kt
+++ b/model/src/main/kotlin/dev/baobabhollow/model/ConfigurationState.kt
@@ -24,6 +24,7 @@
     val snapshotOffset: Long = NO_OFFSET,
     val snapshotAtMillis: Long = 0,
     val lastAppendedAtMillis: Long = 0,
+    val orders: Map<ServiceId, MoveOrder> = emptyMap(),
 ) {
     /** Holds the state before the first record. */
     companion object {
@@ -32,6 +33,17 @@
     }
 }
 
+/**
+ * Holds the newest order to move the traffic of a service to [release] within [durationMillis]. Its stages are kept apart
+ * from the configuration stream, which only operators write.
+ */
+@Serializable
+data class MoveOrder(
+    val move: MoveId,
+    val release: ReleaseId,
+    val durationMillis: Long,
+)
+
 /** Remembers the last [sequence] of a writer and the log time of its last record. */
 @Serializable
 data class WriterState(
--- a/model/src/main/kotlin/dev/baobabhollow/model/LogRecord.kt
+++ b/model/src/main/kotlin/dev/baobabhollow/model/LogRecord.kt
@@ -47,6 +47,30 @@
     val evidence: MoveEvidence,
 ) : RecordBody
 
+/** Replaces the whole configuration by [mesh] as [version]. An operator's versions rise in steps of any size. */
+@Serializable
+@SerialName("configuration")
+data class ConfigurationRecord(
+    val version: Long,
+    val mesh: MeshConfig,
+) : RecordBody
+
+/** Orders the move of all traffic of [service] to [release] within [durationMillis]. */
+@Serializable
+@SerialName("moveOrder")
+data class MoveOrderRecord(
+    val service: ServiceId,
+    val release: ReleaseId,
+    val durationMillis: Long,
+) : RecordBody
+
+/** Stands for a record that cannot be read. It changes nothing but the offset. */
+@Serializable
+@SerialName("unreadable")
+data class UnreadableRecord(
+    val reason: String,
+) : RecordBody
+
 /** Carries the whole state through [throughOffset] for readers whose earlier records have expired. */
 @Serializable
 @SerialName("snapshot")
--- a/model/src/main/kotlin/dev/baobabhollow/model/MeshConfig.kt
+++ b/model/src/main/kotlin/dev/baobabhollow/model/MeshConfig.kt
@@ -9,6 +9,7 @@
     val members: Map<MemberId, MemberConfig> = emptyMap(),
     val services: Map<ServiceId, ServiceConfig> = emptyMap(),
     val routes: Map<RouteId, RouteConfig> = emptyMap(),
+    val callerLimits: CallerLimits? = null,
 ) {
     /** Holds the configuration of version 0. */
     companion object {
@@ -17,6 +18,18 @@
     }
 }
 
+/**
+ * Bounds what a caller may send and how long it may take. Nodes use the limits of their settings where a configuration has
+ * none.
+ */
+@Serializable
+data class CallerLimits(
+    val maxHeaderBytes: Int,
+    val maxBodyBytes: Long,
+    val headerTimeoutMillis: Long,
+    val idleTimeoutMillis: Long,
+)
+
 /** Describes a member and what it weighs most when a move is decided. */
 @Serializable
 data class MemberConfig(
@@ -36,10 +49,14 @@
     COMPLETION,
 }
 
+/** Names the release of a service whose targets, and not its operator, say which releases there are. */
+val ANNOUNCED_RELEASE = ReleaseId("announced")
+
 /**
  * Describes a service.
  *
- * [initialRelease] receives all calls until the first move of the service is done and must be one of [releases].
+ * [initialRelease] receives all calls until the first move of the service is done and must be one of [releases]. With
+ * [ANNOUNCED_RELEASE] the calls go to whichever release most targets announce, until a move is ordered.
  */
 @Serializable
 data class ServiceConfig(
@@ -73,6 +90,23 @@
     val idempotent: Boolean = true,
     val callClass: CallClass = CallClass.LOOKUP,
     val timeoutMillis: Long = 5_000,
+    /** Host to which the route is limited; null means all hosts. */
+    val host: String? = null,
+    /** Services that share the calls by weight, if there are several; [service] is the first of them. */
+    val split: List<SplitPart> = emptyList(),
+    /** Most targets to which one call is sent; null means the limit of the node's settings. */
+    val maxTargets: Int? = null,
+    /** Time within which an answer is worth most, or null if that is not stated. */
+    val targetLatencyMillis: Long? = null,
+    /** Rank at admission, 0 first; null means the rank of [callClass]. */
+    val priority: Int? = null,
+)
+
+/** Gives [service] its share, [weight] of the sum of all weights, of the calls on a route. */
+@Serializable
+data class SplitPart(
+    val service: ServiceId,
+    val weight: Int,
 )
 
 /** Orders calls at admission. */
--- a/model/src/main/kotlin/dev/baobabhollow/model/MoveState.kt
+++ b/model/src/main/kotlin/dev/baobabhollow/model/MoveState.kt
@@ -6,6 +6,9 @@
 /** The share of all calls of a service, in permille. */
 const val FULL_SHARE_PERMILLE = 1_000
 
+/** Stands for all releases but the new one in the plan of an ordered move: the order names only the new one. */
+val OTHER_RELEASES = ReleaseId("others")
+
 /** Names the phase of a move. */
 @Serializable
 enum class MovePhase(
--- a/model/src/main/kotlin/dev/baobabhollow/model/NodeRecord.kt
+++ b/model/src/main/kotlin/dev/baobabhollow/model/NodeRecord.kt
@@ -50,7 +50,10 @@
     val target: TargetRecord? = null,
 )
 
-/** Announces the target beside a node with its limits of concurrent calls ([slots]) and connections. */
+/**
+ * Announces the target beside a node with its limits of concurrent calls ([slots]) and connections. [instance] tells apart
+ * the processes that follow one another at its address, where targets announce it.
+ */
 @Serializable
 data class TargetRecord(
     val service: ServiceId,
@@ -58,6 +61,7 @@
     val slots: Int,
     val connections: Int,
     val status: TargetStatus = TargetStatus.SERVING,
+    val instance: String? = null,
 )
 
 /** Says whether a target takes new calls. */
--- a/model/src/main/kotlin/dev/baobabhollow/model/PlatformLog.kt
+++ b/model/src/main/kotlin/dev/baobabhollow/model/PlatformLog.kt
@@ -1,6 +1,9 @@
 package dev.baobabhollow.model
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /** Appends to and reads from the platform's append-only log. Calls block; use one thread for each duty. */
@@ -26,8 +29,37 @@
         maxRecords: Int,
         waitUntilMillis: Long,
     ): Result<LogBatch, LogError>
+
+    /** Returns the stored stages of ordered moves, which lie outside the streams. Logs without orders have none. */
+    fun orderedStages(): Result<List<OrderedStage>, LogError> = Ok(emptyList())
+
+    /**
+     * Stores [stage] unless the move has a final stage already, and returns the stage that stands then. Logs without
+     * orders refuse it. Gives up at [deadlineMillis] (epoch milliseconds).
+     */
+    fun storeStage(
+        stage: OrderedStage,
+        deadlineMillis: Long,
+    ): Result<OrderedStage, LogError> = Err(LogError.Unavailable("this log has no ordered moves"))
 }
 
+/**
+ * Holds how far the ordered [move] of [service] to [to] has come. [startedAtMillis] and [completeByMillis] are epoch
+ * milliseconds of the node that saw the order first.
+ */
+@Serializable
+data class OrderedStage(
+    @SerialName("m") val move: MoveId,
+    @SerialName("v") val service: ServiceId,
+    @SerialName("t") val to: ReleaseId,
+    @SerialName("n") val stage: Int,
+    @SerialName("p") val phase: MovePhase,
+    @SerialName("s") val sharePermille: Int,
+    @SerialName("b") val startedAtMillis: Long,
+    @SerialName("e") val completeByMillis: Long,
+    @SerialName("r") val reason: String = "",
+)
+
 /** Holds the offsets of appended records, in the order given, and the platform's time of the append. */
 @Serializable
 data class AppendReceipt(
--- /dev/null
+++ b/node/src/main/kotlin/dev/baobabhollow/node/AnnouncedTarget.kt
@@ -0,0 +1,133 @@
+package dev.baobabhollow.node
+
+import dev.baobabhollow.model.Endpoint
+import dev.baobabhollow.model.ReleaseId
+import dev.baobabhollow.model.ServiceId
+import dev.baobabhollow.model.TargetRecord
+import dev.baobabhollow.model.TargetStatus
+
+/** Is what a target tells the node beside it. */
+sealed interface TargetMessage {
+    /** Identifies the target. */
+    val instance: String
+
+    /** Epoch milliseconds of the target's start by its own clock, or null if it does not say. */
+    val bornMillis: Long?
+}
+
+/** Repeats what a target is. [sequence] rises with each heartbeat of one start. */
+data class TargetHeartbeat(
+    override val instance: String,
+    override val bornMillis: Long?,
+    val sequence: Long,
+    val endpoint: Endpoint,
+    val service: ServiceId,
+    val release: ReleaseId,
+    val slots: Int,
+    val isDraining: Boolean,
+) : TargetMessage
+
+/** Says that a target is about to end. */
+data class TargetLeave(
+    override val instance: String,
+    override val bornMillis: Long?,
+) : TargetMessage
+
+/** Says what became of a message of a target. */
+enum class Announced {
+    /** It changed what the node knows. */
+    CHANGED,
+
+    /** It confirmed what the node knew. */
+    CONFIRMED,
+
+    /** It came late, or from a target that has ended or is not the one beside this node. */
+    IGNORED,
+}
+
+/**
+ * Keeps the target beside the node from what it announces. A later start supersedes an earlier one, also under the same
+ * name, and a heartbeat that was held up in the network never brings back what it came before. Not safe for use by several
+ * threads.
+ */
+class AnnouncedTarget(
+    private val endpoint: Endpoint,
+    private val silenceMillis: Long,
+) {
+    private var last: TargetHeartbeat? = null
+    private var heardAtMillis = 0L
+    private var isDown = false
+    private val ended = LinkedHashSet<Pair<String, Long?>>()
+
+    /** The target as other nodes shall see it, or null if there is none. */
+    val record: TargetRecord?
+        get() =
+            last?.let {
+                TargetRecord(it.service, it.release, it.slots, it.slots + SPARE_CONNECTIONS, statusOf(it), it.instance)
+            }
+
+    /** Takes in [message] at [nowMillis]. */
+    fun take(
+        message: TargetMessage,
+        nowMillis: Long,
+    ): Announced =
+        when (message) {
+            is TargetHeartbeat -> beat(message, nowMillis)
+            is TargetLeave -> leave(message)
+        }
+
+    /** Tells whether the target has become silent since the last call. */
+    fun checkSilence(nowMillis: Long): Boolean {
+        if (last == null || isDown || nowMillis - heardAtMillis <= silenceMillis) return false
+        isDown = true
+        return true
+    }
+
+    private fun beat(
+        next: TargetHeartbeat,
+        nowMillis: Long,
+    ): Announced {
+        val isEnded = (next.instance to next.bornMillis) in ended
+        if (next.endpoint != endpoint || isEnded || isStale(next)) return Announced.IGNORED
+        val before = record
+        last = next
+        heardAtMillis = nowMillis
+        isDown = false
+        return if (record == before) Announced.CONFIRMED else Announced.CHANGED
+    }
+
+    private fun isStale(next: TargetHeartbeat): Boolean {
+        val known = last ?: return false
+        val knownBorn = known.bornMillis
+        val nextBorn = next.bornMillis
+        if (knownBorn != null && nextBorn != null && nextBorn != knownBorn) return nextBorn < knownBorn
+        return next.instance == known.instance && next.sequence <= known.sequence
+    }
+
+    private fun leave(message: TargetLeave): Announced {
+        val known = last
+        if (known == null || known.instance != message.instance) return Announced.IGNORED
+        if (message.bornMillis != null && known.bornMillis != null && message.bornMillis < known.bornMillis) {
+            return Announced.IGNORED
+        }
+        ended += known.instance to known.bornMillis
+        if (ended.size > MAX_ENDED) ended.remove(ended.first())
+        last = null
+        return Announced.CHANGED
+    }
+
+    private fun statusOf(target: TargetHeartbeat): TargetStatus =
+        when {
+            target.isDraining -> TargetStatus.DRAINING
+            isDown -> TargetStatus.DOWN
+            else -> TargetStatus.SERVING
+        }
+
+    private companion object {
+        /** Connections beside those in use, for ones that are being closed. */
+        const val SPARE_CONNECTIONS = 4
+
+        /** Targets that follow one another on a VM within the time that a heartbeat can be held up. */
+        const val MAX_ENDED = 64
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/dev/baobabhollow/node/DirectoryDuty.kt
@@ -0,0 +1,92 @@
+package dev.baobabhollow.node
+
+import com.github.michaelbull.result.fold
+import dev.baobabhollow.model.Endpoint
+import dev.baobabhollow.model.LogError
+import dev.baobabhollow.model.NodeId
+import org.apache.logging.log4j.Level
+import kotlin.random.Random
+
+/**
+ * Introduces the node to others through [directory] on a thread of its own. Once it knows others, membership keeps them
+ * known without the platform; while it knows fewer than are listed, it asks again.
+ */
+internal class DirectoryDuty(
+    private val directory: NodeDirectory,
+    private val self: NodeId,
+    private val endpoint: Endpoint,
+    private val knownNodes: () -> Set<NodeId>,
+    private val join: (List<Endpoint>) -> Boolean,
+) : AutoCloseable {
+    private val thread = Thread(::run, "directory").apply { isDaemon = true }
+
+    @Volatile
+    private var isStopped = false
+    private var isListed = false
+    private var isFailing = false
+
+    fun start() = thread.start()
+
+    override fun close() {
+        isStopped = true
+        thread.interrupt()
+    }
+
+    private fun run() {
+        var pauseMillis = FIRST_PAUSE_MILLIS
+        try {
+            while (!isStopped) {
+                val isComplete = lookUp()
+                pauseMillis = if (isComplete) CALM_PAUSE_MILLIS else nextPause(pauseMillis)
+                Thread.sleep(pauseMillis / 2 + Random.nextLong(pauseMillis))
+            }
+        } catch (_: InterruptedException) {
+            return
+        }
+    }
+
+    private fun nextPause(pauseMillis: Long) =
+        if (pauseMillis >= CALM_PAUSE_MILLIS) FIRST_PAUSE_MILLIS else minOf(pauseMillis * 2, MAX_PAUSE_MILLIS)
+
+    /** Returns true when nothing is left to do for now. */
+    private fun lookUp(): Boolean {
+        // Without a loss of contact, membership needs no list.
+        if (isListed && knownNodes().size > ENOUGH_NODES) return true
+        return directory.nodes().fold(success = { takeList(it) }, failure = { failed("read", it) })
+    }
+
+    private fun takeList(listed: Map<NodeId, Endpoint>): Boolean {
+        if (isFailing) EventLog.write("directory_regained", "listed" to listed.size)
+        isFailing = false
+        val known = knownNodes()
+        val unknown = (listed - self).filterKeys { it !in known }.values
+        if (unknown.isNotEmpty()) join(unknown.shuffled().take(MAX_CONTACTS))
+        val wasListed = isListed
+        if (listed[self] == endpoint) isListed = true
+        if (!isListed) isListed = directory.announce(self, endpoint).fold({ true }, { failed("announce", it) })
+        // A node that has just listed itself may have been listed at the same moment as others, so it looks once more.
+        return wasListed && unknown.isEmpty()
+    }
+
+    private fun failed(
+        call: String,
+        error: LogError,
+    ): Boolean {
+        if (!isFailing) EventLog.write("directory_lost", "call" to call, "error" to error, level = Level.WARN)
+        isFailing = true
+        return false
+    }
+
+    private companion object {
+        /** All nodes of a fleet start within a third of a second. */
+        const val FIRST_PAUSE_MILLIS = 500L
+        const val MAX_PAUSE_MILLIS = 4_000L
+
+        /** A node that is cut off finds no more than itself; it asks the platform about this often. */
+        const val CALM_PAUSE_MILLIS = 10_000L
+
+        /** Nodes, this one included, above which membership alone finds the others. */
+        const val ENOUGH_NODES = 2
+        const val MAX_CONTACTS = 16
+    }
+}
--- a/node/src/main/kotlin/dev/baobabhollow/node/MemberJudge.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/MemberJudge.kt
@@ -4,10 +4,12 @@
 import dev.baobabhollow.model.MemberId
 import dev.baobabhollow.model.MoveId
 import dev.baobabhollow.model.MoveState
+import dev.baobabhollow.model.OTHER_RELEASES
 import dev.baobabhollow.model.OutcomeSummary
 import dev.baobabhollow.moves.MoveDecision
 import dev.baobabhollow.moves.MoveJudge
 import dev.baobabhollow.moves.moveJudge
+import dev.baobabhollow.moves.shortMoveJudge
 
 /**
  * Judges [move] by the policy of the member that owns its service. The control plane may ask for a judge just before it
@@ -37,10 +39,14 @@
     }
 
     private fun open(plan: MoveState): MoveJudge? {
+        if (plan.plan.from == OTHER_RELEASES) return use(shortMoveJudge())
         val mesh = state().mesh
         val member = mesh.services[plan.plan.service]?.member ?: return null
         val priority = mesh.members[member]?.movePriority ?: return null
-        val opened = moveJudge(move, (policies[member] ?: MovePolicySettings()).policy(priority))
+        return use(moveJudge(move, (policies[member] ?: MovePolicySettings()).policy(priority)))
+    }
+
+    private fun use(opened: MoveJudge): MoveJudge {
         early.forEach(opened::observe)
         early.clear()
         judge = opened
--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -4,6 +4,7 @@
 import dev.baobabhollow.membership.FleetView
 import dev.baobabhollow.model.ConfigurationState
 import dev.baobabhollow.model.MoveId
+import dev.baobabhollow.model.NodeId
 import dev.baobabhollow.model.NodeRecord
 import dev.baobabhollow.model.NodeStatus
 import dev.baobabhollow.model.TargetRecord
@@ -12,14 +13,18 @@
 import dev.baobabhollow.peers.ControlPlane
 import dev.baobabhollow.peers.ControlPlaneSettings
 import dev.baobabhollow.platformlog.HttpPlatformLog
+import dev.baobabhollow.proxy.NoKeyClaims
 import dev.baobabhollow.proxy.OutcomeRecorder
 import dev.baobabhollow.proxy.ProxyMetrics
 import dev.baobabhollow.proxy.ProxyServer
 import dev.baobabhollow.proxy.ProxySettings
 import dev.baobabhollow.proxy.claims.LogClaims
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import org.apache.logging.log4j.Level
 import java.util.SplittableRandom
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicReference
@@ -29,6 +34,7 @@
     private val settings: NodeSettings,
     private val nowMillis: () -> Long = System::currentTimeMillis,
     registry: PrometheusRegistry = PrometheusRegistry(),
+    private val adapter: PlatformAdapter = OwnPlatform(settings.platformLog),
 ) {
     private val upSinceMillis = nowMillis()
     private val self = selfRecord(settings, upSinceMillis)
@@ -38,19 +44,31 @@
     private val burn = BurnCounters()
     private val faults: FaultInjection = FaultInjection { takeFaults(it) }
     private val tableLock = Any()
-    private val log = HttpPlatformLog(settings.platformLog)
     private val control = controlPlane(registry)
-    private val logClaims = LogClaims(log, WriterId("${settings.node}/$upSinceMillis/claims"), nowMillis = nowMillis)
-    private val keyClaims = NodeKeyClaims(self, ::incarnation, logClaims, upSinceMillis)
+    private val logClaims =
+        if (settings.platform == PlatformKind.OWN) {
+            LogClaims(adapter.log, WriterId("${settings.node}/$upSinceMillis/claims"), nowMillis = nowMillis)
+        } else {
+            null
+        }
+    private val keyClaims = logClaims?.let { NodeKeyClaims(self, ::incarnation, it, upSinceMillis) } ?: NoKeyClaims
     private val targetDuty = settings.target?.let { TargetDuty(it, control::announceTarget) }
     private val duties = Executors.newSingleThreadScheduledExecutor { Thread(it, "duties").apply { isDaemon = true } }
     private val proxyMetrics = ProxyMetrics(registry)
+    private val operatorGroup = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val operators =
         OperatorServer(
             settings.addresses.operator,
             settings.limits.operatorBodyBytes,
+            operatorGroup,
             operatorRoutes(registry)::handle,
         )
+    private val announcements = settings.announcedTarget?.let { AnnouncementDuty(it, adapter, nowMillis, ::takeTarget) }
+    private val platformServers = platformServers()
+    private val directoryDuty =
+        adapter.directory?.let {
+            DirectoryDuty(it, settings.node, settings.addresses.control, ::liveNodes, control::join)
+        }
 
     init {
         val metrics = NodeMetrics(registry)
@@ -60,7 +78,7 @@
             proxy?.loadPermille
                 ?: 0
         }
-        metrics.claims(logClaims.counters)
+        logClaims?.let { metrics.claims(it.counters) }
     }
 
     @Volatile
@@ -74,18 +92,21 @@
         operators.start()
         proxy =
             ProxyServer(
-                settings = ProxySettings(settings.addresses.callers, eventLoops = settings.limits.eventLoopThreads),
+                settings = proxySettings(settings, adapter.protocol),
                 self = self,
                 tables = table::get,
-                targetEndpoint = settings.target?.endpoint,
+                targetEndpoint = settings.target?.endpoint ?: settings.announcedTarget?.endpoint,
                 nowMillis = nowMillis,
                 recorder = OutcomeRecorder(),
                 claims = keyClaims,
                 metrics = proxyMetrics,
             )
         control.start()
+        platformServers.forEach { it.start() }
+        directoryDuty?.start()
         targetDuty?.start()
-        duties.scheduleWithFixedDelay(::passOnCounts, COUNT_MILLIS, COUNT_MILLIS, TimeUnit.MILLISECONDS)
+        val countMillis = if (settings.platform == PlatformKind.OWN) COUNT_MILLIS else FAST_COUNT_MILLIS
+        duties.scheduleWithFixedDelay(::passOnCounts, countMillis, countMillis, TimeUnit.MILLISECONDS)
         EventLog.write(
             "node_started",
             "failureDomain" to settings.failureDomain,
@@ -99,27 +120,70 @@
      */
     fun stop(): Int {
         stopping = true
+        val stopBy = StopTimes.of(settings.limits, nowMillis())
         EventLog.write("node_stopping", "inFlight" to (proxy?.inFlight ?: 0))
         targetDuty?.close()
+        directoryDuty?.close()
+        proxy?.announceClose()
         val isAnnounced = control.leave(nowMillis() + LEAVE_MILLIS)
-        val left = proxy?.drain(nowMillis() + settings.limits.drainMillis) ?: 0
+        serveOn(stopBy.serveUntilMillis)
+        val left = proxy?.drain(stopBy.drainUntilMillis) ?: 0
         duties.shutdownNow()
         proxy?.close()
         control.close()
-        logClaims.close()
-        log.close()
+        logClaims?.close()
+        adapter.close()
+        platformServers.forEach { it.close() }
         operators.close()
         EventLog.write("node_stopped", "announced" to isAnnounced, "callsCutOff" to left)
         return left
     }
 
+    /** Callers learn only by and by that the node is not ready; until then their calls are served. */
+    private fun serveOn(untilMillis: Long) {
+        val leftMillis = untilMillis - nowMillis()
+        if (leftMillis > 0) Thread.sleep(leftMillis)
+    }
+
+    private fun platformServers(): List<OperatorServer> {
+        val readiness =
+            settings.readiness?.let { endpoint ->
+                OperatorServer(endpoint, settings.limits.operatorBodyBytes, operatorGroup) { request ->
+                    CompletableFuture.completedFuture(answerReadiness(request))
+                }
+            }
+        val targets =
+            announcements?.let { duty ->
+                val endpoint = checkNotNull(settings.announcedTarget).announcements
+                OperatorServer(endpoint, settings.limits.operatorBodyBytes, operatorGroup) { request ->
+                    CompletableFuture.completedFuture(duty.handle(request))
+                }
+            }
+        return listOfNotNull(readiness, targets)
+    }
+
+    private fun answerReadiness(request: OperatorRequest): OperatorResponse {
+        if (request.path != adapter.readinessPath) return OperatorResponse(NOT_FOUND, errorBody("no such path"))
+        val lacking = facts().lacking
+        val body = OperatorJson.encodeToString(ReadinessDocument(lacking.isEmpty(), lacking))
+        return OperatorResponse(if (lacking.isEmpty()) OK else UNAVAILABLE, body)
+    }
+
+    private fun liveNodes(): Set<NodeId> = control.view.live().mapTo(HashSet()) { it.node }
+
+    /** Takes the target out or in here at once, and then tells the other nodes. */
+    private fun takeTarget(target: TargetRecord?) {
+        proxy?.update(self.copy(target = target))
+        if (!control.announceTarget(target)) EventLog.write("target_announcement_lost", level = Level.WARN)
+    }
+
     private fun incarnation(): Long = control.view.nodes[settings.node]?.incarnation ?: self.incarnation
 
     private fun controlPlane(registry: PrometheusRegistry): ControlPlane =
         ControlPlane(
-            settings = ControlPlaneSettings(seeds = settings.seeds),
+            settings = controlSettings(settings),
             self = self,
-            log = log,
+            log = adapter.log,
             clock = nowMillis,
             random = SplittableRandom(),
             registry = registry,
@@ -160,7 +224,8 @@
         versionTimes.note(state.version, nowMillis())
         verdicts.update(state)
         proxy?.forgetAbsent(next)
-        view.nodes[view.self]?.let { proxy?.update(it) }
+        // An announced target is known here before the view has it, and the view must not bring back the one before.
+        if (settings.announcedTarget == null) view.nodes[view.self]?.let { proxy?.update(it) }
         if (next.version != before.version) EventLog.write("version_in_force", "version" to next.version)
     }
 
@@ -180,6 +245,7 @@
                 control.observe(summary)
             }
             burn.sample(server.burnCounts(), nowMillis())
+            announcements?.checkSilence()
         } catch (e: RuntimeException) {
             // An exception would end the schedule, and the move leads would get no more outcomes of this target.
             EventLog.write("count_failed", level = Level.ERROR, cause = e)
@@ -190,6 +256,12 @@
         /** Half of the period in which the control plane sends summaries on. */
         const val COUNT_MILLIS = 500L
 
+        /** Moves that are ordered to end within seconds are decided on counts that are this old at most. */
+        const val FAST_COUNT_MILLIS = 200L
+        const val OK = 200
+        const val NOT_FOUND = 404
+        const val UNAVAILABLE = 503
+
         /** Bound within which a leaving target gets no new work. */
         const val LEAVE_MILLIS = 3_000L
 
--- a/node/src/main/kotlin/dev/baobabhollow/node/NodeSettings.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/NodeSettings.kt
@@ -5,13 +5,14 @@
 import dev.baobabhollow.model.NodeId
 import dev.baobabhollow.model.ReleaseId
 import dev.baobabhollow.model.ServiceId
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /**
  * Holds the settings of one node as its settings file states them.
  *
  * [seeds] are control endpoints of other nodes; [platformLog] is the endpoint of the platform log. Without a [target] the
- * node only passes calls on. [members] replaces values of the members' move policies. [faultInjection] enables
+ * node only passes calls on, unless [announcedTarget] says where its target announces itself. [members] replaces values of the members' move policies. [faultInjection] enables
  * `POST /faults` at the operator port.
  */
 @Serializable
@@ -25,6 +26,44 @@
     val members: Map<MemberId, MovePolicySettings> = emptyMap(),
     val limits: LimitSettings = LimitSettings(),
     val faultInjection: Boolean = false,
+    val platform: PlatformKind = PlatformKind.OWN,
+    val announcedTarget: AnnouncedTargetSettings? = null,
+    val readiness: EndpointText? = null,
+    val retries: RetrySettings? = null,
+)
+
+/** Names the platforms that a node can run on. */
+@Serializable
+enum class PlatformKind {
+    /** Speaks the protocols of the product itself. */
+    @SerialName("own")
+    OWN,
+
+    /** Is the platform of the consortium that shares the mesh. */
+    @SerialName("consortium")
+    CONSORTIUM,
+}
+
+/**
+ * Describes a target beside the node that announces itself at [announcements]: its [endpoint], and the [service] that runs
+ * on the VM. It repeats its heartbeat every [heartbeatSeconds].
+ */
+@Serializable
+data class AnnouncedTargetSettings(
+    val endpoint: EndpointText,
+    val service: ServiceId,
+    val announcements: EndpointText,
+    val heartbeatSeconds: Double = 1.5,
+)
+
+/**
+ * Bounds what all nodes together may send to targets beyond the first attempts: [share] of the calls to a service and
+ * [slack] attempts in each window.
+ */
+@Serializable
+data class RetrySettings(
+    val share: Double = 0.2,
+    val slack: Double = 56.0,
 )
 
 /**
@@ -65,4 +104,6 @@
     val drainMillis: Long = 30_000,
     val verdictWaitMillis: Long = 30_000,
     val operatorBodyBytes: Int = 65_536,
+    /** Time from a planned stop's begin to the process's end, in seconds; null leaves [drainMillis] in force. */
+    val stopWithinSeconds: Double? = null,
 )
--- a/node/src/main/kotlin/dev/baobabhollow/node/OperatorServer.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/OperatorServer.kt
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
+import io.netty.channel.IoEventLoopGroup
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.nio.NioIoHandler
@@ -29,6 +30,8 @@
     val method: String,
     val path: String,
     val body: String,
+    /** Part of the target behind the question mark, or an empty text. */
+    val query: String = "",
 )
 
 /** Holds an answer of the operator port. */
@@ -40,14 +43,14 @@
 
 /**
  * Serves the operator port at [endpoint] with one thread. [handle] must not block; an answer that has to wait completes its
- * future later. Requests with bodies above [maxBodyBytes] are refused with status 413.
+ * future later. Servers may share one [group], which the first that closes ends. Requests with bodies above [maxBodyBytes] are refused with status 413.
  */
 class OperatorServer(
     private val endpoint: Endpoint,
     private val maxBodyBytes: Int,
+    private val group: IoEventLoopGroup = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()),
     private val handle: (OperatorRequest) -> CompletableFuture<OperatorResponse>,
 ) : AutoCloseable {
-    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private var channel: Channel? = null
 
     /** Binds the port. Throws when it is taken. */
@@ -90,6 +93,7 @@
                     request.method().name(),
                     request.uri().substringBefore('?'),
                     request.content().toString(Charsets.UTF_8),
+                    request.uri().substringAfter('?', ""),
                 )
             val answer = runCatching { handle(parsed) }.getOrElse { CompletableFuture.failedFuture(it) }
             answer.whenComplete { response, failure ->
--- /dev/null
+++ b/node/src/main/kotlin/dev/baobabhollow/node/OwnPlatform.kt
@@ -0,0 +1,23 @@
+package dev.baobabhollow.node
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import dev.baobabhollow.model.Endpoint
+import dev.baobabhollow.platformlog.HttpPlatformLog
+import dev.baobabhollow.proxy.CallProtocol
+import dev.baobabhollow.proxy.MeshProtocol
+
+/** Speaks the protocols of the product itself. Targets are checked by their health endpoints and announce nothing. */
+internal class OwnPlatform(
+    endpoint: Endpoint,
+) : PlatformAdapter {
+    override val log = HttpPlatformLog(endpoint)
+    override val protocol: CallProtocol = MeshProtocol
+    override val directory: NodeDirectory? = null
+    override val readinessPath = "/readyz"
+
+    override fun readAnnouncement(request: OperatorRequest): Result<TargetMessage, String> =
+        Err("targets of this platform do not announce themselves")
+
+    override fun close() = log.close()
+}
--- /dev/null
+++ b/node/src/main/kotlin/dev/baobabhollow/node/PlatformTuning.kt
@@ -0,0 +1,85 @@
+package dev.baobabhollow.node
+
+import dev.baobabhollow.calls.AdmissionSettings
+import dev.baobabhollow.calls.OutlierSettings
+import dev.baobabhollow.calls.PickerSettings
+import dev.baobabhollow.calls.Placement
+import dev.baobabhollow.calls.RetryBudgetSettings
+import dev.baobabhollow.membership.MembershipSettings
+import dev.baobabhollow.peers.ControlPlaneSettings
+import dev.baobabhollow.proxy.CallProtocol
+import dev.baobabhollow.proxy.ProxySettings
+
+private const val FULL_PERMILLE = 1_000
+
+/** Part of the shared retry budget that nodes use; the rest covers attempts that nested calls repeat. */
+private const val USED_RETRY_SHARE = 0.5
+
+/** Retries that one node may save up, for a slack of a hundred retries among dozens of nodes. */
+private const val SAVED_RETRIES = 2
+
+internal fun proxySettings(
+    settings: NodeSettings,
+    protocol: CallProtocol,
+): ProxySettings {
+    val base = ProxySettings(settings.addresses.callers, eventLoops = settings.limits.eventLoopThreads)
+    if (settings.platform == PlatformKind.OWN) return base
+    val retries = settings.retries ?: RetrySettings()
+    return base.copy(
+        protocol = protocol,
+        callerService = settings.announcedTarget?.service,
+        repeatsServerErrors = true,
+        budgetsRefusals = false,
+        keepAliveSeconds = 1,
+        maxAttempts = 4,
+        // Uploads of a few hundred kilobytes can be refused by an owner and sent to another one.
+        replayBytes = 524_288,
+        connectTimeoutMillis = 400,
+        // Targets close idle connections after some seconds, at times without notice.
+        upstreamIdleMillis = 2_500,
+        picker =
+            PickerSettings(
+                placement = Placement.SHORTEST_WAIT,
+                slowStartMillis = 3_000,
+                slowStartPermille = 400,
+            ),
+        outliers =
+            OutlierSettings(
+                windowMillis = 2_000,
+                windowMinCalls = 10,
+                windowErrorPermille = 300,
+                baseEjectionMillis = 1_000,
+                maxEjectionMillis = 4_000,
+                probeMillis = 1_000,
+            ),
+        retries =
+            RetryBudgetSettings(
+                ratioPermille = (retries.share * USED_RETRY_SHARE * FULL_PERMILLE).toInt(),
+                minimumPerSecond = 0,
+                maxSavedRetries = SAVED_RETRIES,
+            ),
+        admission = AdmissionSettings(uploadSlotsPermille = FULL_PERMILLE, initialServiceMicros = 60_000),
+    )
+}
+
+internal fun controlSettings(settings: NodeSettings): ControlPlaneSettings {
+    val base = ControlPlaneSettings(seeds = settings.seeds)
+    if (settings.platform == PlatformKind.OWN) return base
+    return base.copy(
+        membership = MembershipSettings(urgentPeriodMillis = 100),
+        // A configuration must be in force within two seconds of its acknowledgement, also in a domain of a dozen nodes.
+        pushFanOut = 8,
+        pullJitterMillis = 100,
+        requestTimeoutMillis = 1_500,
+        peerSilenceMillis = 3_000,
+        startGraceMillis = 0,
+        longPollMillis = 15_000,
+        appendTimeoutMillis = 2_000,
+        maxBackoffMillis = 1_000,
+        moveDecisionMillis = 200,
+        summaryPeriodMillis = 200,
+        leadDelayMillis = 1_500,
+        leadSilenceMillis = 1_500,
+        writesSnapshots = false,
+    )
+}
--- /dev/null
+++ b/node/src/main/kotlin/dev/baobabhollow/node/StopTimes.kt
@@ -0,0 +1,32 @@
+package dev.baobabhollow.node
+
+/** Holds the points in time of a planned stop: calls are served until the first and may end until the second. */
+internal data class StopTimes(
+    val serveUntilMillis: Long,
+    val drainUntilMillis: Long,
+) {
+    companion object {
+        /** Time for closing everything after the drain. */
+        private const val CLOSE_MILLIS = 700L
+
+        /**
+         * Part of the time to the end in which new calls are still served. The platform notices after two probes a second
+         * apart that the node is not ready.
+         */
+        private const val SERVE_SHARE = 0.5
+
+        fun of(
+            limits: LimitSettings,
+            nowMillis: Long,
+        ): StopTimes {
+            val whole = limits.stopWithinSeconds ?: return StopTimes(nowMillis, nowMillis + limits.drainMillis)
+            val wholeMillis = (whole * MILLIS_PER_SECOND).toLong()
+            return StopTimes(
+                serveUntilMillis = nowMillis + (wholeMillis * SERVE_SHARE).toLong(),
+                drainUntilMillis = nowMillis + (wholeMillis - CLOSE_MILLIS).coerceAtLeast(0),
+            )
+        }
+
+        private const val MILLIS_PER_SECOND = 1_000.0
+    }
+}
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlCore.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlCore.kt
@@ -7,8 +7,10 @@
 import dev.baobabhollow.model.Endpoint
 import dev.baobabhollow.model.LogError
 import dev.baobabhollow.model.MoveId
+import dev.baobabhollow.model.MoveStageRecord
 import dev.baobabhollow.model.NodeRecord
 import dev.baobabhollow.model.NodeStatus
+import dev.baobabhollow.model.OrderedStage
 import dev.baobabhollow.model.OutcomeSummary
 import java.util.random.RandomGenerator
 
@@ -21,6 +23,7 @@
     private val random: RandomGenerator,
     private val dissemination: Dissemination,
     private val board: MoveBoard,
+    private val ordered: OrderedMoves,
     private val outcomes: OutcomeSender,
     private val logDuty: LogDuty,
     private val metrics: ControlMetrics,
@@ -31,7 +34,7 @@
     private var leftAtMillis = 0L
 
     val view: FleetView get() = membership.view
-    val state: ConfigurationState get() = dissemination.state
+    val state: ConfigurationState get() = ordered.mergeInto(dissemination.state)
     val position: Position get() = dissemination.position
     val held: Set<MoveId> get() = board.held
 
@@ -46,7 +49,14 @@
         dissemination.tick(view, nowMillis)
         board.tick(state, view, nowMillis)
         outcomes.tick(view, nowMillis)
-        logDuty.tick(view, position, state, silenceMillis(nowMillis), nowMillis - startedMillis, nowMillis)
+        logDuty.tick(
+            view,
+            position,
+            dissemination.state,
+            silenceMillis(nowMillis),
+            nowMillis - startedMillis,
+            nowMillis,
+        )
         metrics.showLiveNodes(view.live().size)
         completeLeave(nowMillis)
     }
@@ -65,6 +75,8 @@
             is ControlEvent.LogStateFound -> takeLogState(event)
             is ControlEvent.LogFailed -> takeLogError(event.error)
             is ControlEvent.AppendFinished -> takeAppend(event)
+            is ControlEvent.StagesRead -> event.stages.forEach(ordered::take)
+            is ControlEvent.ContactsFound -> send(membership.join(event.endpoints, nowMillis))
             is ControlEvent.SelfChanged -> changeSelf(event.change, nowMillis)
             is ControlEvent.LeaveRequested -> leave(event, nowMillis)
         }
@@ -73,17 +85,35 @@
     fun observe(summary: OutcomeSummary) = outcomes.add(summary, state)
 
     /** Sends [alert] to some peers at once; it also rides along with all later datagrams. */
-    fun spread(alert: MoveAlert) {
+    fun spread(alert: MoveAlert) = spread(listOf(alert), emptyList())
+
+    private fun spread(
+        alerts: List<MoveAlert>,
+        stages: List<OrderedStage>,
+    ) {
         val peers = view.live().filter { it.node != self.node }
         val (near, far) = peers.partition { it.failureDomain == self.failureDomain }
         val chosen = near.inRandomOrder(random).take(settings.pushFanOut - 1) + far.inRandomOrder(random).take(1)
         val message = membership.greeting()
-        chosen.forEach { outbox.send(OutgoingMessage(it.controlEndpoint, message), position, listOf(alert)) }
+        chosen.forEach { outbox.send(OutgoingMessage(it.controlEndpoint, message), position, alerts, stages) }
+    }
+
+    fun isOrdered(move: MoveId): Boolean = ordered.isOrdered(move)
+
+    /**
+     * Puts [record] of an ordered move in force at once unless it is final, which the log decides. Returns null for moves
+     * whose stages are records of the configuration stream.
+     */
+    fun takeOrderedStage(record: MoveStageRecord): OrderedStage? {
+        if (!ordered.isOrdered(record.move)) return null
+        val proposed = ordered.proposed(record)
+        if (!record.phase.isFinal) ordered.apply(record)?.let { spread(emptyList(), listOf(it)) }
+        return proposed
     }
 
     private fun send(messages: List<OutgoingMessage>) {
         outbox.useView(view)
-        messages.forEach { outbox.send(it, position, board.alertsToRepeat()) }
+        messages.forEach { outbox.send(it, position, board.alertsToRepeat(), ordered.stagesToRepeat()) }
     }
 
     private fun takeDatagram(
@@ -95,6 +125,8 @@
         lastPeerMillis = nowMillis
         send(membership.receive(datagram.message, nowMillis))
         dissemination.compare(datagram.position, sender.endpoint, nowMillis)
+        val news = datagram.stages.filter(ordered::take)
+        if (news.isNotEmpty()) spread(emptyList(), news)
         datagram.alerts.forEach { board.takeAlert(it, state, nowMillis) }
     }
 
@@ -152,6 +184,7 @@
     }
 
     private fun takeAppend(event: ControlEvent.AppendFinished) {
+        event.stage?.let { if (ordered.take(it)) spread(emptyList(), listOf(it)) }
         board.takeAppendResult(event.record, event.offset)
         logDuty.noteAppend(event.record)
     }
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlEvent.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlEvent.kt
@@ -7,6 +7,7 @@
 import dev.baobabhollow.model.LogError
 import dev.baobabhollow.model.LogRecord
 import dev.baobabhollow.model.NodeRecord
+import dev.baobabhollow.model.OrderedStage
 import java.util.concurrent.CompletableFuture
 
 /** Is handed to the control thread, which alone owns the aggregates. */
@@ -53,9 +54,21 @@
         val error: LogError,
     ) : ControlEvent
 
+    /** Tells what became of an append; [stage] is what the log holds of an ordered move then. */
     data class AppendFinished(
         val record: LogRecord,
         val offset: Long?,
+        val stage: OrderedStage? = null,
+    ) : ControlEvent
+
+    /** Carries stages of ordered moves from the log. */
+    data class StagesRead(
+        val stages: List<OrderedStage>,
+    ) : ControlEvent
+
+    /** Carries control endpoints of other nodes that were found outside the membership. */
+    data class ContactsFound(
+        val endpoints: List<Endpoint>,
     ) : ControlEvent
 
     /** Lets the node announce that it leaves; [done] completes when that has been sent. */
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlane.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlane.kt
@@ -3,6 +3,7 @@
 import dev.baobabhollow.membership.FleetView
 import dev.baobabhollow.membership.membership
 import dev.baobabhollow.model.ConfigurationState
+import dev.baobabhollow.model.Endpoint
 import dev.baobabhollow.model.MoveId
 import dev.baobabhollow.model.MoveStageRecord
 import dev.baobabhollow.model.NodeRecord
@@ -10,6 +11,7 @@
 import dev.baobabhollow.model.PlatformLog
 import dev.baobabhollow.model.RecordBody
 import dev.baobabhollow.model.SnapshotRecord
+import dev.baobabhollow.model.TargetRecord
 import dev.baobabhollow.model.TargetStatus
 import dev.baobabhollow.model.WriterId
 import io.prometheus.metrics.model.registry.PrometheusRegistry
@@ -41,6 +43,7 @@
     private val reader = LogReader(log, clock, settings, metrics, split(random), events::offer)
     private val writer = LogWriter(log, writerId(random), clock, settings, metrics, split(random), events::offer)
     private val dissemination = Dissemination(self, settings, outbox, metrics, split(random), ::post)
+    private val ordered = OrderedMoves(clock)
     private val board: MoveBoard =
         MoveBoard(self, settings, clock, callbacks.judgeFor, ::appendStage) { core.spread(it) }
     private val outcomes =
@@ -57,6 +60,7 @@
             random = split(random),
             dissemination = dissemination,
             board = board,
+            ordered = ordered,
             outcomes = outcomes,
             logDuty = logDuty,
             metrics = metrics,
@@ -93,6 +97,12 @@
     fun announceTarget(status: TargetStatus): Boolean =
         changeSelf { record -> record.copy(target = record.target?.copy(status = status)) }
 
+    /** Announces [target] as the own one, or that there is none. */
+    fun announceTarget(target: TargetRecord?): Boolean = changeSelf { it.copy(target = target) }
+
+    /** Joins the nodes at [endpoints], which were found outside the membership. Returns false when the ring is full. */
+    fun join(endpoints: List<Endpoint>): Boolean = events.offer(ControlEvent.ContactsFound(endpoints))
+
     /**
      * Announces that this node leaves. Returns true when the announcement has been sent in all its rounds, and false when
      * that took longer than until [deadlineMillis] (epoch milliseconds).
@@ -121,8 +131,21 @@
         events.offer(event)
     }
 
-    private fun appendStage(record: MoveStageRecord): Boolean =
-        append(record) { board.isWanted(record, state, heldMoves) }
+    private fun appendStage(record: MoveStageRecord): Boolean {
+        val isOrdered = core.isOrdered(record.move)
+        val stage = core.takeOrderedStage(record)
+        // Operators only read the first stage and the final one of an ordered move.
+        if (isOrdered && !record.phase.isFinal && record.follows > 0) return true
+        return writer.offer(AppendRequest(record, stage = stage) { isWanted(record, isOrdered) })
+    }
+
+    private fun isWanted(
+        record: MoveStageRecord,
+        isOrdered: Boolean,
+    ): Boolean {
+        if (!isOrdered) return board.isWanted(record, state, heldMoves)
+        return state.moves[record.move]?.phase?.isFinal == false
+    }
 
     private fun appendSnapshot(record: SnapshotRecord): Boolean =
         append(record, isRepeated = false) { state.snapshotOffset < record.throughOffset }
@@ -131,7 +154,7 @@
         body: RecordBody,
         isRepeated: Boolean = true,
         isWanted: () -> Boolean,
-    ): Boolean = writer.offer(AppendRequest(body, isRepeated, isWanted))
+    ): Boolean = writer.offer(AppendRequest(body, isRepeated, isWanted = isWanted))
 
     private fun writerId(random: RandomGenerator): WriterId {
         val start = java.lang.Long.toHexString(random.nextLong())
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlaneSettings.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlaneSettings.kt
@@ -39,4 +39,6 @@
     val leadDelayMillis: Long = 5_000,
     /** Time without an answer from any lead after which a node judges by its own outcomes. */
     val leadSilenceMillis: Long = 3_000,
+    /** False where the log itself keeps the newest record of each key, so that readers need no snapshots. */
+    val writesSnapshots: Boolean = true,
 )
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/LogDuty.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/LogDuty.kt
@@ -39,7 +39,7 @@
     ) {
         isActive = shouldRead(view, position, silenceMillis, uptimeMillis)
         follow(position)
-        if (isActive) writeSnapshotIfDue(state, position, nowMillis)
+        if (isActive && settings.writesSnapshots) writeSnapshotIfDue(state, position, nowMillis)
     }
 
     /** Hands the current offset to the log reader. */
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/LogReader.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/LogReader.kt
@@ -38,6 +38,9 @@
     @Volatile
     private var order = ReaderOrder(false, -1)
 
+    /** Is set again after each outage, in which stages of ordered moves may have been missed. */
+    private var needsStages = true
+
     init {
         isDaemon = true
     }
@@ -68,6 +71,7 @@
     }
 
     private fun readOnce() {
+        if (needsStages) readStages()
         val after = order.offset
         read(after, clock() + settings.longPollMillis).fold(
             success = { if (it.earliestOffset > after + 1) recover(it.earliestOffset) else accept(after, it) },
@@ -75,6 +79,12 @@
         )
     }
 
+    private fun readStages() =
+        log.orderedStages().fold(
+            success = { needsStages = !post(ControlEvent.StagesRead(it)) },
+            failure = { handle(it) },
+        )
+
     private fun accept(
         after: Long,
         batch: LogBatch,
@@ -85,6 +95,7 @@
 
     private fun handle(error: LogError) {
         post(ControlEvent.LogFailed(error))
+        needsStages = true
         if (error is LogError.Trimmed) recover(error.earliestOffset) else pauseMillis(backoff.nextMillis())
     }
 
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/LogWriter.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/LogWriter.kt
@@ -8,6 +8,7 @@
 import dev.baobabhollow.configuration.APPEND_RETRY_LIMIT_MILLIS
 import dev.baobabhollow.model.LogError
 import dev.baobabhollow.model.LogRecord
+import dev.baobabhollow.model.OrderedStage
 import dev.baobabhollow.model.PlatformLog
 import dev.baobabhollow.model.RecordBody
 import dev.baobabhollow.model.StreamName
@@ -17,10 +18,14 @@
 import java.util.concurrent.locks.LockSupport
 import java.util.random.RandomGenerator
 
-/** Asks for an append of [body] as long as [isWanted]. [isRepeated] is false for records that need no second attempt. */
+/**
+ * Asks for an append of [body] as long as [isWanted]. [isRepeated] is false for records that need no second attempt. The
+ * [stage] of an ordered move is stored instead of [body].
+ */
 internal data class AppendRequest(
     val body: RecordBody,
     val isRepeated: Boolean = true,
+    val stage: OrderedStage? = null,
     val isWanted: () -> Boolean,
 )
 
@@ -74,18 +79,23 @@
 
     private fun handle(request: AppendRequest) {
         val record = LogRecord(writer, ++sequence, request.body)
-        val offset = appendUntilKnown(record, request)
-        while (!post(ControlEvent.AppendFinished(record, offset)) && !isStopped) pauseMillis(settings.minBackoffMillis)
+        val finished =
+            if (request.stage == null) {
+                ControlEvent.AppendFinished(record, attemptUntilKnown(request) { append(record) })
+            } else {
+                ControlEvent.AppendFinished(record, null, attemptUntilKnown(request) { store(request.stage) })
+            }
+        while (!post(finished) && !isStopped) pauseMillis(settings.minBackoffMillis)
     }
 
-    private fun appendUntilKnown(
-        record: LogRecord,
+    private fun <T : Any> attemptUntilKnown(
         request: AppendRequest,
-    ): Long? {
+        attempt: () -> Result<T, LogError>,
+    ): T? {
         val startedNanos = System.nanoTime()
         backoff.reset()
         while (!isStopped && request.isWanted()) {
-            val error = append(record).fold({ return it }, { it })
+            val error = attempt().fold({ return it }, { it })
             val elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos)
             if (!request.isRepeated || elapsedMillis > APPEND_RETRY_LIMIT_MILLIS) return null
             pauseMillis(waitMillis(error))
@@ -93,16 +103,27 @@
         return null
     }
 
-    private fun append(record: LogRecord): Result<Long, LogError> {
+    private fun append(record: LogRecord): Result<Long, LogError> =
+        counted("append") {
+            log.append(StreamName.CONFIGURATION, listOf(record), clock() + settings.appendTimeoutMillis)
+        }.map { it.offsets.first() }
+
+    private fun store(stage: OrderedStage): Result<OrderedStage, LogError> =
+        counted("store stage") { log.storeStage(stage, clock() + settings.appendTimeoutMillis) }
+
+    private fun <T> counted(
+        call: String,
+        attempt: () -> Result<T, LogError>,
+    ): Result<T, LogError> {
         val result =
             try {
-                log.append(StreamName.CONFIGURATION, listOf(record), clock() + settings.appendTimeoutMillis)
+                attempt()
             } catch (e: RuntimeException) {
-                LOG.error("append failed", e)
+                LOG.error("{} failed", call, e)
                 Err(LogError.OutcomeUnknown(e.toString()))
             }
-        metrics.countLogCall("append", result.fold({ "ok" }, { it::class.simpleName.orEmpty() }))
-        return result.map { it.offsets.first() }
+        metrics.countLogCall(call, result.fold({ "ok" }, { it::class.simpleName.orEmpty() }))
+        return result
     }
 
     private fun waitMillis(error: LogError): Long {
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/MoveBoard.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/MoveBoard.kt
@@ -11,6 +11,7 @@
 import dev.baobabhollow.model.MoveState
 import dev.baobabhollow.model.NodeId
 import dev.baobabhollow.model.NodeRecord
+import dev.baobabhollow.model.OTHER_RELEASES
 import dev.baobabhollow.model.OutcomeSummary
 import dev.baobabhollow.moves.MoveDecision
 import dev.baobabhollow.moves.MoveJudge
@@ -249,7 +250,8 @@
             state.moves.entries
                 .firstOrNull { (_, move) ->
                     val plan = move.plan
-                    val isRelease = summary.release == plan.from || summary.release == plan.to
+                    val isOrdered = plan.from == OTHER_RELEASES
+                    val isRelease = isOrdered || summary.release == plan.from || summary.release == plan.to
                     !move.phase.isFinal && plan.service == summary.service && isRelease
                 }?.toPair()
     }
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/Outbox.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/Outbox.kt
@@ -9,6 +9,7 @@
 import dev.baobabhollow.model.Endpoint
 import dev.baobabhollow.model.FailureDomainId
 import dev.baobabhollow.model.NodeRecord
+import dev.baobabhollow.model.OrderedStage
 
 /** Sends on behalf of the control thread and drops what fault injection forbids. */
 internal class Outbox(
@@ -34,9 +35,10 @@
         outgoing: OutgoingMessage,
         position: Position,
         alerts: List<MoveAlert>,
+        stages: List<OrderedStage> = emptyList(),
     ) {
         if (isDroppedTo(outgoing.to)) return
-        val full = PeerCodec.encode(PeerDatagram(outgoing.message, position, alerts))
+        val full = PeerCodec.encode(PeerDatagram(outgoing.message, position, alerts, stages))
         if (full.size <= settings.maxDatagramBytes) return transport.send(outgoing.to, full)
         val bare = PeerCodec.encode(PeerDatagram(outgoing.message, position))
         if (bare.size > settings.maxDatagramBytes) return metrics.countIgnored("own datagram too long")
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/PeerMessages.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/PeerMessages.kt
@@ -6,6 +6,7 @@
 import dev.baobabhollow.model.FailureDomainId
 import dev.baobabhollow.model.MoveId
 import dev.baobabhollow.model.NodeId
+import dev.baobabhollow.model.OrderedStage
 import dev.baobabhollow.model.OutcomeSummary
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -25,6 +26,7 @@
     @SerialName("m") val message: MembershipMessage,
     @SerialName("p") val position: Position,
     @SerialName("a") val alerts: List<MoveAlert> = emptyList(),
+    @SerialName("s") val stages: List<OrderedStage> = emptyList(),
 )
 
 /** Tells all nodes to send no calls to the new release of [move] until the log has the final word. */
--- a/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/LogClientLimits.kt
+++ b/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/LogClientLimits.kt
@@ -10,4 +10,6 @@
     val answerTimeoutMillis: Long = 5_000,
     val maxAnswerBytes: Int = 16 * 1024 * 1024,
     val maxConnections: Int = 8,
+    /** Idle time in seconds after which the system probes a connection and, failing twice a second apart, closes it. */
+    val keepAliveSeconds: Int? = null,
 )
--- a/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/LogConnection.kt
+++ b/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/LogConnection.kt
@@ -17,13 +17,16 @@
 import java.io.ByteArrayOutputStream
 import java.util.concurrent.CompletableFuture
 
-/** Holds one complete answer of the log. */
-internal data class LogAnswer(
+/** Holds one complete answer of the log. [retryAfterMillis] is null if the answer does not state it. */
+class LogAnswer internal constructor(
     val status: Int,
     val retryAfterMillis: Long?,
-    val body: String,
-    val keepsConnection: Boolean,
-)
+    val bytes: ByteArray,
+    internal val keepsConnection: Boolean,
+) {
+    /** The body as text. */
+    val body: String get() = bytes.decodeToString()
+}
 
 /** Receives the outcome of an exchange. */
 internal typealias AnswerFuture = CompletableFuture<Result<LogAnswer, LogError>>
@@ -100,7 +103,7 @@
             LogAnswer(
                 response.status().code(),
                 response.headers().get(RETRY_AFTER_HEADER)?.toLongOrNull(),
-                body.toString(Charsets.UTF_8),
+                body.toByteArray(),
                 HttpUtil.isKeepAlive(response),
             )
         complete(Ok(answer))
--- /dev/null
+++ b/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/LogHttpClient.kt
@@ -0,0 +1,128 @@
+package dev.baobabhollow.platformlog
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import dev.baobabhollow.model.AppendReceipt
+import dev.baobabhollow.model.Endpoint
+import dev.baobabhollow.model.LogBatch
+import dev.baobabhollow.model.LogError
+import dev.baobabhollow.model.LogRecord
+import dev.baobabhollow.model.ModelJson
+import dev.baobabhollow.model.PlatformLog
+import dev.baobabhollow.model.StreamName
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
+import java.net.URLEncoder
+import java.util.concurrent.RejectedExecutionException
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
+
+/**
+ * Exchanges HTTP requests with the platform at [endpoint], an IP number. Safe for several threads: concurrent calls use
+ * different connections, and a connection whose exchange did not complete is closed.
+ */
+class LogHttpClient(
+    private val endpoint: Endpoint,
+    limits: LogClientLimits = LogClientLimits(),
+    private val nowMillis: () -> Long = System::currentTimeMillis,
+) : AutoCloseable {
+    private val pool = ConnectionPool(endpoint, limits)
+
+    /** Closes all connections; running calls end with an error. */
+    override fun close() = pool.close()
+
+    /**
+     * Sends a request and returns its whole answer, whatever its status. A call that was interrupted or timed out after it
+     * was sent has an unknown outcome. Blocks until [deadlineMillis] (epoch milliseconds) at most.
+     */
+    fun call(
+        method: HttpMethod,
+        path: String,
+        body: ByteArray,
+        contentType: String,
+        deadlineMillis: Long,
+    ): Result<LogAnswer, LogError> {
+        val timeoutMillis = deadlineMillis - nowMillis()
+        if (timeoutMillis <= 0) return Err(LogError.Unavailable("the deadline passed before the request was sent"))
+        val endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis)
+        return try {
+            var result = attempt({ request(method, path, body, contentType) }, endNanos)
+            // A reused connection may have been closed by the log a moment ago.
+            if (result.getError() ===
+                LogConnection.NOT_SENT
+            ) {
+                result = attempt({ request(method, path, body, contentType) }, endNanos)
+            }
+            result
+        } catch (_: InterruptedException) {
+            Thread.currentThread().interrupt()
+            Err(LogError.Unavailable("interrupted before the request was sent"))
+        }
+    }
+
+    private fun attempt(
+        newRequest: () -> DefaultFullHttpRequest,
+        endNanos: Long,
+    ): Result<LogAnswer, LogError> =
+        pool.acquire(millisUntil(endNanos)).andThen { channel ->
+            exchange(channel, newRequest(), millisUntil(endNanos))
+        }
+
+    private fun millisUntil(nanos: Long) = TimeUnit.NANOSECONDS.toMillis(nanos - System.nanoTime()).coerceAtLeast(1)
+
+    private fun exchange(
+        channel: Channel,
+        request: DefaultFullHttpRequest,
+        timeoutMillis: Long,
+    ): Result<LogAnswer, LogError> {
+        val result = await(channel, request, timeoutMillis)
+        if (result.get()?.keepsConnection == true) pool.release(channel) else pool.discard(channel)
+        return result
+    }
+
+    private fun await(
+        channel: Channel,
+        request: DefaultFullHttpRequest,
+        timeoutMillis: Long,
+    ): Result<LogAnswer, LogError> {
+        val answer = AnswerFuture()
+        return try {
+            channel.pipeline().get(LogConnection::class.java).exchange(channel, request, answer)
+            answer.get(timeoutMillis, TimeUnit.MILLISECONDS)
+        } catch (_: TimeoutException) {
+            Err(LogError.OutcomeUnknown("no complete answer within $timeoutMillis ms"))
+        } catch (_: InterruptedException) {
+            Thread.currentThread().interrupt()
+            Err(LogError.OutcomeUnknown("interrupted while waiting for the answer"))
+        } catch (failure: RejectedExecutionException) {
+            request.release()
+            Err(LogError.Unavailable("the client is closed: ${failure.message}"))
+        }
+    }
+
+    private fun request(
+        method: HttpMethod,
+        path: String,
+        body: ByteArray,
+        contentType: String,
+    ): DefaultFullHttpRequest {
+        val content: ByteBuf = Unpooled.wrappedBuffer(body)
+        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, content)
+        request
+            .headers()
+            .set(HttpHeaderNames.HOST, endpoint.toString())
+            .set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
+            .set(HttpHeaderNames.CONTENT_TYPE, contentType)
+        return request
+    }
+}
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/Answers.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/Answers.kt
@@ -18,6 +18,8 @@
 internal fun failureHead(
     failure: CallFailure,
     bodyBytes: Int,
+    callId: String?,
+    protocol: CallProtocol,
 ): HttpResponse {
     val head = DefaultHttpResponse(HttpVersion.HTTP_1_1, failure.status)
     head
@@ -26,6 +28,8 @@
         .set(HttpHeaderNames.CONTENT_LENGTH, bodyBytes)
         .set(MeshHeaders.OUTCOME, failure.outcome.text)
         .set(MeshHeaders.REASON, failure.reason.text)
+    failure.roomInMillis?.let { head.headers().set(MeshHeaders.ROOM_IN, it) }
+    protocol.writeFailure(head, callId, failure.outcome == CallOutcome.NOT_RUN, failure.roomInMillis)
     return head
 }
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallFailure.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallFailure.kt
@@ -35,6 +35,7 @@
     WAIT_TOO_LONG("wait-too-long"),
     DEADLINE_PASSED("deadline-passed"),
     WRONG_TARGET("wrong-target"),
+    TARGET_REFUSED("target-refused"),
     OWNER_UNREACHABLE("owner-unreachable", CallHealth.NO_CONNECTION),
     TARGET_UNREACHABLE("target-unreachable", CallHealth.NO_CONNECTION),
     TOO_MANY_CONNECTIONS("too-many-connections"),
@@ -60,6 +61,7 @@
     val status: HttpResponseStatus,
     val outcome: CallOutcome,
     val reason: FailureReason,
+    val roomInMillis: Long? = null,
 ) {
     /** Returns this failure for a call of which another attempt may have run. */
     fun mayHaveRun(): CallFailure {
--- /dev/null
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallProtocol.kt
@@ -0,0 +1,87 @@
+package dev.baobabhollow.proxy
+
+import dev.baobabhollow.model.ServiceId
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponse
+
+/** Says what a caller tells about its call. [deadlineMillis] is in epoch milliseconds of the node's clock. */
+data class CallerFacts(
+    val callId: String?,
+    val deadlineMillis: Long?,
+)
+
+/** Says what a target is told beside the request itself. [deadlineMillis] is in epoch milliseconds of the node's clock. */
+data class TargetFacts(
+    val callId: String,
+    val deadlineMillis: Long,
+    val leftMillis: Long,
+    val instance: String?,
+    val callerService: ServiceId?,
+)
+
+/** Says what the head of an answer tells about the call. [callId] is null if the target does not echo one. */
+data class AnswerFacts(
+    val callId: String?,
+    val isNotRun: Boolean = false,
+    val isOtherInstance: Boolean = false,
+)
+
+/** Translates between the headers of callers and targets and what nodes act on. Decides nothing. Safe for several threads. */
+interface CallProtocol {
+    /** True if a target's answer may end with its connection instead of a stated length. */
+    val endsAnswersByClose: Boolean
+
+    /** True if answers to other calls can precede the one to the present call on a connection. */
+    val skipsForeignAnswers: Boolean
+
+    /** Reads what the caller states. */
+    fun readCaller(
+        headers: HttpHeaders,
+        nowMillis: Long,
+    ): CallerFacts
+
+    /** Changes the headers of a request for the target. */
+    fun writeTarget(
+        headers: HttpHeaders,
+        facts: TargetFacts,
+    )
+
+    /** Reads what the answer of a target states. */
+    fun readAnswer(head: HttpResponse): AnswerFacts
+
+    /** Changes the status and headers of an error that a node answers instead of a target. */
+    fun writeFailure(
+        head: HttpResponse,
+        callId: String?,
+        isNotRun: Boolean,
+        retryAfterMillis: Long?,
+    )
+}
+
+/** Is the protocol of the product itself, with the headers of [MeshHeaders]. */
+object MeshProtocol : CallProtocol {
+    override val endsAnswersByClose = false
+    override val skipsForeignAnswers = false
+
+    override fun readCaller(
+        headers: HttpHeaders,
+        nowMillis: Long,
+    ) = CallerFacts(null, headers.get(MeshHeaders.DEADLINE)?.toLongOrNull())
+
+    override fun writeTarget(
+        headers: HttpHeaders,
+        facts: TargetFacts,
+    ) {
+        headers.set(MeshHeaders.CALL, facts.callId)
+        headers.set(MeshHeaders.DEADLINE, facts.deadlineMillis)
+    }
+
+    override fun readAnswer(head: HttpResponse) = AnswerFacts(head.headers().get(MeshHeaders.CALL))
+
+    override fun writeFailure(
+        head: HttpResponse,
+        callId: String?,
+        isNotRun: Boolean,
+        retryAfterMillis: Long?,
+    ) = Unit
+}
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ConnectionPool.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ConnectionPool.kt
@@ -7,8 +7,10 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
+import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpRequestEncoder
+import jdk.net.ExtendedSocketOptions
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentLinkedDeque
 import java.util.concurrent.TimeUnit
@@ -60,8 +62,15 @@
 
     init {
         limit.pools.add(this)
+        settings.keepAliveSeconds?.let { bootstrap.keepAlive(it) }
     }
 
+    private fun Bootstrap.keepAlive(seconds: Int) =
+        option(ChannelOption.SO_KEEPALIVE, true)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), seconds)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), 1)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), 2)
+
     /** Calls [ready] with a connection, or with null and a reason other than a failed connect. */
     fun acquire(ready: (UpstreamConnection?, FailureReason?) -> Unit) = acquire(LIMIT_RETRIES, ready)
 
@@ -71,7 +80,7 @@
     ) {
         while (true) {
             val connection = idle.pollFirst() ?: break
-            if (connection.isUsable) return ready(connection, null)
+            if (connection.isUsable && !isStale(connection)) return ready(connection, null)
             connection.channel.close()
         }
         if (limit.tryOpen()) return connect(ready)
@@ -106,14 +115,19 @@
 
     /** Closes connections that were idle for too long and forgets closed ones. */
     fun sweep() {
-        val oldest = nowMillis() - settings.upstreamIdleMillis
         idle.removeIf { connection ->
-            val isOver = !connection.channel.isActive || connection.idleSinceMillis < oldest
+            val isOver = !connection.channel.isActive || isStale(connection)
             if (isOver) connection.channel.close()
             isOver
         }
     }
 
+    /** The other end closes idle connections too; half of what it states leaves room for a request that is on its way. */
+    private fun isStale(connection: UpstreamConnection): Boolean {
+        val stated = connection.idleLimitMillis?.let { it / 2 } ?: Long.MAX_VALUE
+        return nowMillis() - connection.idleSinceMillis > minOf(settings.upstreamIdleMillis, stated)
+    }
+
     /** True without any connection, in use or idle. */
     val isUnused: Boolean get() = limit.isUnused
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
@@ -21,6 +21,7 @@
     private val route: Route,
     private val targets: ReleaseTargets,
     private val fixedTarget: TargetEndpoint?,
+    private val callerCallId: String?,
 ) : RelayExchange(node, front, deadlineMillis) {
     private val replay = PendingBody()
     private val mayRetry = fixedTarget == null && !head.headers().contains(MeshHeaders.RETRY)
@@ -28,6 +29,9 @@
     private var attemptMicros = startMicros
     private var isBodyLost = false
     private var attempts = 0
+
+    /** Attempts that a target has seen. */
+    private var arrivals = 0
     private var tried: MutableSet<NodeId> = mutableSetOf()
     private var target: TargetEndpoint? = null
     private var answerStatus = HttpResponseStatus.OK
@@ -52,7 +56,7 @@
         loadPermille = null
         attemptMicros = node.nowMicros()
         node.picker.started(chosen, node.nowMillis())
-        val callId = node.newCallId()
+        val callId = callerCallId ?: node.newCallId()
         prepareHead(chosen, callId)
         val next = if (chosen.node == node.self.node) localAttempt(chosen, callId) else remoteAttempt(chosen, callId)
         attempt = next
@@ -69,6 +73,7 @@
         headers.set(MeshHeaders.RELEASE, chosen.release.value)
         headers.set(MeshHeaders.CALL, callId)
         headers.set(MeshHeaders.DEADLINE, deadlineMillis - node.settings.hopMarginMillis)
+        headers.set(MeshHeaders.TIME_LEFT, deadlineMillis - node.settings.hopMarginMillis - node.nowMillis())
         if (attempts > 1) headers.set(MeshHeaders.RETRY, "1")
     }
 
@@ -87,7 +92,7 @@
     ): Attempt {
         head.headers().set(MeshHeaders.ROUTE, route.id.value)
         val pool = node.pools(front.loop).owners.of(chosen.peerCallEndpoint)
-        return UpstreamCall(pool, callId, FailureReason.OWNER_UNREACHABLE, this)
+        return UpstreamCall(pool, callId, FailureReason.OWNER_UNREACHABLE, MeshProtocol, this)
     }
 
     override fun forward(content: HttpContent) {
@@ -112,9 +117,10 @@
         headers.remove(MeshHeaders.LOAD)
         headers.remove(MeshHeaders.CALL)
         if (outcome != null) return onGeneratedError(head, outcome)
-        val isRefused = head.status() == HttpResponseStatus.SERVICE_UNAVAILABLE
-        if (isRefused && route.config.idempotent) {
-            val next = nextTarget()
+        val code = head.status().code()
+        if (route.config.idempotent && isWorthRepeating(code)) {
+            arrivals++
+            val next = nextTarget(isBudgeted = true)
             if (next != null) {
                 // The target answered itself, and only it knows how far it came.
                 hasEarlierRun = true
@@ -132,15 +138,18 @@
     ) {
         val reason = FailureReason.of(head.headers().get(MeshHeaders.REASON))
         val isNotRun = outcome == CallOutcome.NOT_RUN.text
-        val failure = CallFailure(head.status(), if (isNotRun) CallOutcome.NOT_RUN else CallOutcome.UNKNOWN, reason)
-        onAttemptFailure(failure)
+        val roomIn = head.headers().getInt(MeshHeaders.ROOM_IN)?.toLong()
+        val known = if (isNotRun) CallOutcome.NOT_RUN else CallOutcome.UNKNOWN
+        onAttemptFailure(CallFailure(head.status(), known, reason, roomIn))
     }
 
     override fun onFailure(failure: CallFailure) = onAttemptFailure(failure)
 
     private fun onAttemptFailure(failure: CallFailure) {
         if (failure.outcome == CallOutcome.UNKNOWN) hasEarlierRun = true
-        val next = if (isRepeatable(failure)) nextTarget() else null
+        val isSeen = failure.outcome == CallOutcome.UNKNOWN || failure.reason == FailureReason.TARGET_REFUSED
+        if (isSeen) arrivals++
+        val next = if (isRepeatable(failure)) nextTarget(isSeen || node.settings.budgetsRefusals) else null
         if (next != null) return retry(next, failure.reason.health)
         attempt?.abandon()
         attempt = null
@@ -152,16 +161,17 @@
         return isServerSide && (failure.outcome == CallOutcome.NOT_RUN || route.config.idempotent)
     }
 
-    /** Returns another target if the call may be sent again, and takes the retry from the budget. */
-    private fun nextTarget(): TargetEndpoint? {
+    private fun isWorthRepeating(code: Int) =
+        code == UNAVAILABLE || (node.settings.repeatsServerErrors && code >= SERVER_ERRORS && code != GATEWAY_TIMEOUT)
+
+    /** Returns another target if the call may be sent again, and takes the retry from the budget if it [isBudgeted]. */
+    private fun nextTarget(isBudgeted: Boolean): TargetEndpoint? {
         val now = node.nowMillis()
-        if (isEnded || !mayRetry || isBodyLost || attempts >= node.settings.maxAttempts ||
-            now >= deadlineMillis
-        ) {
-            return null
-        }
+        val maxTargets = route.config.maxTargets ?: node.settings.maxAttempts
+        val hasAttempts = attempts < node.settings.maxAttempts && arrivals < maxTargets
+        if (isEnded || !mayRetry || isBodyLost || !hasAttempts || now >= deadlineMillis) return null
         val next = pick() ?: return null
-        return next.takeIf { node.budgets.of(route.service.id).tryRetry(now) }
+        return next.takeIf { !isBudgeted || node.budgets.of(route.service.id).tryRetry(now) }
     }
 
     private fun retry(
@@ -196,12 +206,15 @@
         val isCancelled = failure?.reason == FailureReason.CANCELLED
         val isTimeout = failure?.reason == FailureReason.DEADLINE_PASSED
         finishAttempt(healthOf(code, failure), isMeasured = failure == null || isTimeout)
+        node.logEnd(callerCallId, route, code, failure, attempts, used(), node.nowMicros() - startMicros)
         if (isCancelled) return
         val micros = node.nowMicros() - startMicros
         node.recorder.recordCall(route, isError = code >= SERVER_ERRORS, micros)
         node.metrics.countCall(route.id.value, code, micros)
     }
 
+    private fun used() = tried.lastOrNull()
+
     private fun healthOf(
         code: Int,
         failure: CallFailure?,
@@ -220,5 +233,6 @@
         const val BAD_GATEWAY = 502
         const val UNAVAILABLE = 503
         const val SERVER_ERRORS = 500
+        const val GATEWAY_TIMEOUT = 504
     }
 }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
@@ -24,12 +24,13 @@
         if (malformed != null) return refused(front) { front.refuseMalformed(malformed) }
         val path = routedPath(head) ?: return refused(front) { front.refuseMalformed(badRequest()) }
         val table = node.tables()
+        val host = head.headers().get(HttpHeaderNames.HOST)?.substringBefore(':')
         if (node.isDraining) return refused(front, CallFailure.notRun(FailureReason.DRAINING))
         if (!table.isReady) return refused(front, CallFailure.notRun(FailureReason.NOT_READY))
         val route =
-            table.match(path)
+            table.match(path, host)
                 ?: return refused(front, CallFailure.notRun(FailureReason.NO_ROUTE, HttpResponseStatus.NOT_FOUND))
-        return forward(front, head, table, route)
+        return forward(front, head, table, route.forCall(ThreadLocalRandom.current().nextDouble()))
     }
 
     /** Returns the path that decides the route; a request for a key names it in its query. */
@@ -48,9 +49,10 @@
         val now = node.nowMillis()
         val headers = head.headers()
         val clamp = now + route.config.timeoutMillis
-        val deadline = (headers.get(MeshHeaders.DEADLINE)?.toLongOrNull() ?: clamp).coerceAtMost(clamp)
+        val caller = node.settings.protocol.readCaller(headers, now)
+        val deadline = (caller.deadlineMillis ?: clamp).coerceAtMost(clamp)
         if (now >= deadline) return refused(front, CallFailure.deadlinePassed(mayHaveRun = false))
-        if (HttpUtil.getContentLength(head, 0L) > node.settings.maxRequestBodyBytes) {
+        if (HttpUtil.getContentLength(head, 0L) > maxBodyBytes(table)) {
             val status = HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE
             return refused(front, CallFailure.notRun(FailureReason.BODY_TOO_LARGE, status))
         }
@@ -68,7 +70,8 @@
         headers.remove(HttpHeaderNames.EXPECT)
         headers.remove(MeshHeaders.OUTCOME)
         headers.set(MeshHeaders.HOP, hop)
-        return start(front, deadline, head, route, keyOwner)
+        node.settings.callerService?.let { headers.set(MeshHeaders.CALLER, it.value) }
+        return start(front, deadline, head, route, keyOwner, caller.callId)
     }
 
     private fun start(
@@ -77,13 +80,17 @@
         head: HttpRequest,
         route: Route,
         keyOwner: TargetEndpoint?,
+        callId: String?,
     ): Exchange {
         val targets = targetsOf(route)
-        val exchange = EntryExchange(node, front, deadlineMillis, head, route, targets, keyOwner)
+        val exchange = EntryExchange(node, front, deadlineMillis, head, route, targets, keyOwner, callId)
         exchange.start()
         return exchange
     }
 
+    private fun maxBodyBytes(table: RoutingTable) =
+        minOf(node.settings.maxRequestBodyBytes, table.callerLimits?.maxBodyBytes ?: Long.MAX_VALUE)
+
     private fun targetsOf(route: Route): ReleaseTargets =
         route.service.release(ThreadLocalRandom.current().nextInt(FULL_SHARE_PERMILLE))
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/FrontHandler.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/FrontHandler.kt
@@ -36,10 +36,12 @@
 internal class FrontHandler(
     private val node: NodeCore,
     private val encoder: CallerResponseEncoder,
+    private val protocol: CallProtocol,
     private val open: (FrontHandler, HttpRequest) -> Exchange,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
     private var exchange: Exchange? = null
+    private var callId: String? = null
     private val pipelined = ArrayDeque<Any>(0)
     private var isRequestDone = true
     private var isKeptAlive = true
@@ -86,6 +88,7 @@
         isAnswering = false
         isKeptAlive = HttpUtil.isKeepAlive(head)
         encoder.method = head.method()
+        callId = protocol.readCaller(head.headers(), node.nowMillis()).callId
         node.exchangeStarted()
         exchange = PENDING
         val opened = open(this, head)
@@ -133,7 +136,7 @@
     /** Writes the head of the answer. */
     fun answerHead(head: HttpResponse) {
         isAnswering = true
-        if (!isRequestDone || node.isDraining) isKeptAlive = false
+        if (!isRequestDone || node.isClosing) isKeptAlive = false
         if (!isKeptAlive) head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         context.write(head, context.voidPromise())
     }
@@ -159,7 +162,7 @@
         if (isAnswering) return closeAbruptly()
         if (failure.status.code() < SERVER_ERRORS && !isRequestDone) isKeptAlive = false
         val body = failureBody(failure)
-        answerHead(failureHead(failure, body.content().readableBytes()))
+        answerHead(failureHead(failure, body.content().readableBytes(), callId, protocol))
         answerBody(body)
     }
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/Headers.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/Headers.kt
@@ -33,10 +33,34 @@
     /** Reports the load of a target in permille of its slots on the leg between nodes. */
     val LOAD: AsciiString = AsciiString.cached("x-baobabhollow-load")
 
+    /** Holds the time left for a call on the leg between nodes, in milliseconds, because their clocks differ. */
+    val TIME_LEFT: AsciiString = AsciiString.cached("x-baobabhollow-time-left")
+
+    /** Names the service on whose VM the call began, on the leg between nodes. */
+    val CALLER: AsciiString = AsciiString.cached("x-baobabhollow-caller")
+
+    /** Holds the expected time in milliseconds until a refused call would find room, on the leg between nodes. */
+    val ROOM_IN: AsciiString = AsciiString.cached("x-baobabhollow-room-in")
+
     /** Holds an issued or caller-made key. */
     val KEY: AsciiString = AsciiString.cached("idempotency-key")
 }
 
+private val BETWEEN_NODES =
+    listOf(
+        MeshHeaders.DEADLINE,
+        MeshHeaders.HOP,
+        MeshHeaders.RETRY,
+        MeshHeaders.RELEASE,
+        MeshHeaders.ROUTE,
+        MeshHeaders.CALL,
+        MeshHeaders.TIME_LEFT,
+        MeshHeaders.CALLER,
+    )
+
+/** Removes the headers that only nodes read, for protocols in which targets know none of them. */
+fun HttpHeaders.removeMeshHeaders() = BETWEEN_NODES.forEach { remove(it) }
+
 private val HOP_BY_HOP =
     listOf(
         HttpHeaderNames.CONNECTION,
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
@@ -3,9 +3,11 @@
 import dev.baobabhollow.calls.Admission
 import dev.baobabhollow.calls.Outliers
 import dev.baobabhollow.calls.RetryBudgets
+import dev.baobabhollow.calls.Route
 import dev.baobabhollow.calls.RoutingTable
 import dev.baobabhollow.calls.TargetPicker
 import dev.baobabhollow.model.Endpoint
+import dev.baobabhollow.model.NodeId
 import dev.baobabhollow.model.NodeRecord
 import dev.baobabhollow.model.TargetStatus
 import io.netty.channel.EventLoop
@@ -33,6 +35,11 @@
     var isDraining = false
         private set
 
+    /** True once callers shall open no further requests on their connections. */
+    @Volatile
+    var isClosing = false
+        private set
+
     val admission = Admission(settings.admission, self.target?.slots ?: 1)
     val outliers = Outliers(settings.outliers)
     val budgets = RetryBudgets(settings.retries)
@@ -49,6 +56,7 @@
     private val targetLimit = ConnectionLimit(self.target?.connections ?: 1)
     private val loops = ConcurrentHashMap<EventLoop, LoopPools>()
     private val exchanges = AtomicInteger()
+    private val callLog = CallLog(nowMillis)
     private val idleLock = Object()
 
     /** Number of calls in flight on both ports. */
@@ -65,7 +73,7 @@
 
     fun update(self: NodeRecord) {
         this.self = self
-        val target = self.target ?: return
+        val target = self.target ?: return admission.drain()
         targetLimit.max = target.connections
         admission.resize(minOf(target.slots, target.connections), nowMicros(), nowMillis())
         if (isDraining || target.status != TargetStatus.SERVING) admission.drain() else admission.resume()
@@ -77,7 +85,12 @@
         budgets.retain(table.services.keys)
     }
 
+    fun close() {
+        isClosing = true
+    }
+
     fun drain() {
+        isClosing = true
         isDraining = true
         admission.drain()
     }
@@ -107,6 +120,24 @@
 
     fun newCallId(): String = java.lang.Long.toString(ThreadLocalRandom.current().nextLong() ushr 1, ID_RADIX)
 
+    /** Logs how a call ended if it failed or was sent more than once; other calls only count in the metrics. */
+    fun logEnd(
+        callId: String?,
+        route: Route,
+        status: Int,
+        failure: CallFailure?,
+        attempts: Int,
+        lastNode: NodeId?,
+        micros: Long,
+    ) {
+        if (failure == null && attempts <= 1 && status < FIRST_LOGGED_STATUS) return
+        callLog.write {
+            "event=call_ended call=$callId route=${route.id} service=${route.service.id} version=${tables().version} " +
+                "status=$status reason=${failure?.reason?.text} outcome=${failure?.outcome?.text} attempts=$attempts " +
+                "last_node=$lastNode micros=$micros"
+        }
+    }
+
     fun logUnexpected(cause: Throwable) {
         LOG.error("event=proxy_unexpected_error", cause)
     }
@@ -116,6 +147,9 @@
         const val NANOS_PER_MICRO = 1_000L
         const val ID_RADIX = 36
 
+        /** Server errors are worth a line, whoever made them. */
+        const val FIRST_LOGGED_STATUS = 500
+
         /** Bounds a wait so that a clock that steps back does not prolong it. */
         const val MAX_WAIT_MILLIS = 100L
     }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/OwnerExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/OwnerExchange.kt
@@ -49,19 +49,21 @@
         if (malformed != null) return refused(front) { front.refuseMalformed(malformed) }
         if (node.isDraining) return refused(front, CallFailure.notRun(FailureReason.DRAINING))
         val headers = head.headers()
-        val route = headers.get(MeshHeaders.ROUTE)?.let { node.tables().routes[RouteId(it)] }
-        val release = headers.get(MeshHeaders.RELEASE)?.let(::ReleaseId)
         val target = node.self.target
+        val named = headers.get(MeshHeaders.ROUTE)?.let { node.tables().routes[RouteId(it)] }
+        val route = target?.let { named?.to(it.service) }
+        val release = headers.get(MeshHeaders.RELEASE)?.let(::ReleaseId)
         if (route == null || target == null || !node.hasTarget) return refused(front, wrongTarget())
-        if (route.service.id != target.service || release != target.release) return refused(front, wrongTarget())
+        if (release != target.release) return refused(front, wrongTarget())
         val now = node.nowMillis()
         val clamp = now + route.config.timeoutMillis
-        val deadline = (headers.get(MeshHeaders.DEADLINE)?.toLongOrNull() ?: clamp).coerceAtMost(clamp)
+        val left = headers.get(MeshHeaders.TIME_LEFT)?.toLongOrNull()
+        val stated = left?.let { now + it } ?: headers.get(MeshHeaders.DEADLINE)?.toLongOrNull()
+        val deadline = (stated ?: clamp).coerceAtMost(clamp)
         if (now >= deadline) return refused(front, CallFailure.deadlinePassed(mayHaveRun = false))
         val callId = headers.get(MeshHeaders.CALL) ?: node.newCallId()
         if (isKeyRequest(head)) return refused(front) { answerKey(node, front) }
         headers.remove(MeshHeaders.ROUTE)
-        headers.set(MeshHeaders.DEADLINE, deadline - node.settings.hopMarginMillis)
         return OwnerExchange(node, front, deadline, callId).also { it.start(head, route, target.release) }
     }
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
@@ -39,8 +39,8 @@
     private val node = NodeCore(settings, self, tables, targetEndpoint, nowMillis, recorder, claims, metrics)
     private val group =
         MultiThreadIoEventLoopGroup(settings.eventLoops, DefaultThreadFactory("proxy"), NioIoHandler.newFactory())
-    private val callers = listen(settings.callersEndpoint, EntryPort(node)::open)
-    private val peers = listen(self.peerCallEndpoint, OwnerPort(node)::open)
+    private val callers = listen(settings.callersEndpoint, settings.protocol, EntryPort(node)::open)
+    private val peers = listen(self.peerCallEndpoint, MeshProtocol, OwnerPort(node)::open)
 
     /** Port on which callers are served. */
     val callersPort: Int get() = (callers.localAddress() as InetSocketAddress).port
@@ -74,6 +74,9 @@
     /** Returns the counts of calls as callers saw them since the start. */
     fun burnCounts(): List<BurnCount> = recorder.burnCounts()
 
+    /** Lets callers end their connections: each further answer says that its connection closes. Calls are still served. */
+    fun announceClose() = node.close()
+
     /**
      * Refuses new calls as not run, and blocks until the calls in flight have ended or [deadlineMillis] (epoch) has passed.
      * Returns the number of calls that are left. Must not be called on an event loop.
@@ -95,6 +98,7 @@
 
     private fun listen(
         endpoint: Endpoint,
+        protocol: CallProtocol,
         open: (FrontHandler, HttpRequest) -> Exchange,
     ): Channel =
         ServerBootstrap()
@@ -105,7 +109,7 @@
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
                 object : ChannelInitializer<Channel>() {
-                    override fun initChannel(channel: Channel) = prepare(channel, open)
+                    override fun initChannel(channel: Channel) = prepare(channel, protocol, open)
                 },
             ).bind(InetSocketAddress(endpoint.host, endpoint.port))
             .syncUninterruptibly()
@@ -113,6 +117,7 @@
 
     private fun prepare(
         channel: Channel,
+        protocol: CallProtocol,
         open: (FrontHandler, HttpRequest) -> Exchange,
     ) {
         val encoder = CallerResponseEncoder()
@@ -121,7 +126,7 @@
             idle,
             StrictRequestDecoder(node.settings),
             encoder,
-            FrontHandler(node, encoder, open),
+            FrontHandler(node, encoder, protocol, open),
         )
     }
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxySettings.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxySettings.kt
@@ -5,6 +5,7 @@
 import dev.baobabhollow.calls.PickerSettings
 import dev.baobabhollow.calls.RetryBudgetSettings
 import dev.baobabhollow.model.Endpoint
+import dev.baobabhollow.model.ServiceId
 
 /** Configures the data plane of a node. */
 data class ProxySettings(
@@ -37,6 +38,16 @@
     /** Time in which the rest of a refused request is read, because closing at once would destroy the answer. */
     val lingerMillis: Long = 1_000,
     val connectionsPerOwnerAndLoop: Int = 256,
+    /** Headers that callers and targets speak. */
+    val protocol: CallProtocol = MeshProtocol,
+    /** Service on whose VM the node runs; its callers' calls are sent on in its name. */
+    val callerService: ServiceId? = null,
+    /** True if idempotent calls are also sent again when a target answers with a server error. */
+    val repeatsServerErrors: Boolean = false,
+    /** True if a refusal by an owner node, which no target has seen, takes a retry from the budget. */
+    val budgetsRefusals: Boolean = true,
+    /** Idle time in seconds after which the system probes a connection and, failing twice a second apart, closes it. */
+    val keepAliveSeconds: Int? = null,
     val picker: PickerSettings = PickerSettings(),
     val outliers: OutlierSettings = OutlierSettings(),
     val retries: RetryBudgetSettings = RetryBudgetSettings(),
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
@@ -5,11 +5,14 @@
 import dev.baobabhollow.calls.SlotRequest
 import dev.baobabhollow.calls.Ticket
 import dev.baobabhollow.model.ReleaseId
+import dev.baobabhollow.model.ServiceId
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 
 /**
@@ -64,7 +67,7 @@
 
     private fun submit() {
         isSubmitted = true
-        val request = SlotRequest(route.service.config.member, route.id, route.config.callClass, deadlineMillis)
+        val request = slotRequest()
         var early: (() -> Unit)? = null
         val submitted =
             node.admission.submit(request, node.nowMicros(), node.nowMillis()) { refusal ->
@@ -80,9 +83,24 @@
         early?.invoke()
     }
 
+    private fun slotRequest(): SlotRequest {
+        val config = route.config
+        val usefulUntil = config.targetLatencyMillis?.let { node.nowMillis() + it } ?: deadlineMillis
+        return SlotRequest(
+            member = route.service.config.member,
+            route = route.id,
+            callClass = config.callClass,
+            deadlineMillis = deadlineMillis,
+            rank = config.priority ?: config.callClass.ordinal,
+            usefulUntilMillis = minOf(usefulUntil, deadlineMillis),
+        )
+    }
+
     private fun onDecided(refusal: Refusal?) {
         if (isEnded) return
-        if (refusal != null) return finish(CallFailure.of(refusal))
+        if (refusal != null) {
+            return finish(CallFailure.of(refusal).copy(roomInMillis = node.admission.expectedRoomMillis()))
+        }
         isSlotHeld = true
         startLoadPermille = node.admission.loadPermille
         val text = head?.headers()?.get(MeshHeaders.KEY)
@@ -121,13 +139,22 @@
         if (pool == null) return finish(CallFailure.notRun(FailureReason.WRONG_TARGET))
         if (node.nowMillis() >= deadlineMillis) return finish(CallFailure.deadlinePassed(mayHaveRun = false))
         startMicros = node.nowMicros()
-        val call = UpstreamCall(pool, callId, FailureReason.TARGET_UNREACHABLE, this)
+        val protocol = node.settings.protocol
+        val call = UpstreamCall(pool, callId, FailureReason.TARGET_UNREACHABLE, protocol, this)
         upstream = call
+        protocol.writeTarget(request.headers(), targetFacts(request))
         call.start(request)
         pending.drain(call::body)
         call.flush()
     }
 
+    private fun targetFacts(request: HttpRequest): TargetFacts {
+        val deadline = deadlineMillis - node.settings.hopMarginMillis
+        val left = (deadline - node.nowMillis()).coerceAtLeast(1)
+        val caller = request.headers().get(MeshHeaders.CALLER)?.let(::ServiceId)
+        return TargetFacts(callId, deadline, left, node.self.target?.instance, caller)
+    }
+
     private fun answerStored(answer: StoredAnswer) {
         isEnded = true
         freeSlot(isMeasured = false)
@@ -175,7 +202,12 @@
 
     override fun onAnswerHead(head: HttpResponse) {
         val code = head.status().code()
+        val facts = node.settings.protocol.readAnswer(head)
+        if (facts.isNotRun) return onRefusedByTarget(facts)
         result = resultOf(code)
+        if (!HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head)) {
+            HttpUtil.setTransferEncodingChunked(head, mayHaveBody(code))
+        }
         head.headers().remove(MeshHeaders.OUTCOME)
         head.headers().remove(MeshHeaders.REASON)
         head.headers().set(MeshHeaders.RELEASE, release.value)
@@ -186,6 +218,19 @@
         if (!isSilent) listener.onAnswerHead(head)
     }
 
+    /** The rest of the answer is read and dropped, so that the connection stays usable. */
+    private fun onRefusedByTarget(facts: AnswerFacts) {
+        isEnded = true
+        if (!facts.isOtherInstance) record(TargetResult.SHED)
+        key?.fail(mayHaveRun = false)
+        val reason = if (facts.isOtherInstance) FailureReason.WRONG_TARGET else FailureReason.TARGET_REFUSED
+        val wasSilent = isSilent
+        isSilent = true
+        if (!wasSilent) listener.onFailure(CallFailure.notRun(reason))
+    }
+
+    private fun mayHaveBody(code: Int) = code != NO_CONTENT && code != NOT_MODIFIED && head?.method() != HttpMethod.HEAD
+
     private fun resultOf(code: Int): TargetResult =
         when {
             code == TOO_MANY_REQUESTS || code == UNAVAILABLE -> {
@@ -203,7 +248,7 @@
 
     override fun onAnswerBody(content: HttpContent) {
         key?.onBody(content)
-        if (content is LastHttpContent) {
+        if (content is LastHttpContent && !isEnded) {
             isEnded = true
             record(result ?: TargetResult.ERROR)
             key?.finish()
@@ -240,6 +285,8 @@
     }
 
     private companion object {
+        const val NO_CONTENT = 204
+        const val NOT_MODIFIED = 304
         const val TOO_MANY_REQUESTS = 429
         const val UNAVAILABLE = 503
         const val SERVER_ERRORS = 500
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamCall.kt
@@ -11,6 +11,7 @@
     private val pool: ConnectionPool,
     private val callId: String,
     private val unreachable: FailureReason,
+    private val protocol: CallProtocol,
     private val listener: AnswerListener,
 ) : Attempt {
     private enum class State { CONNECTING, OPEN, DISCARDING, ENDED }
@@ -111,10 +112,16 @@
 
     /** Tells whether [head] can be the answer to this call. */
     fun accepts(head: HttpResponse): Boolean {
-        val echoed = head.headers().get(MeshHeaders.CALL) ?: return true
+        val echoed = protocol.readAnswer(head).callId ?: return true
         return echoed == callId
     }
 
+    /** True if an answer to another call may be dropped while the one to this call is awaited. */
+    val skipsForeignAnswers: Boolean get() = protocol.skipsForeignAnswers
+
+    /** True if an answer without a stated length is whole when the connection ends without a reset. */
+    val endsAnswersByClose: Boolean get() = protocol.endsAnswersByClose
+
     fun onHead(head: HttpResponse) {
         if (state == State.OPEN) listener.onAnswerHead(head)
     }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamConnection.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamConnection.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.AsciiString
 import io.netty.util.ReferenceCountUtil
 
 /**
@@ -28,6 +29,13 @@
     private var isKeptAlive = true
     private var isAnswerDone = false
 
+    /** True while the answer to another call is dropped. */
+    private var isForeign = false
+
+    /** Point in time after which the other end may close the idle connection, or null if it has not said so. */
+    var idleLimitMillis: Long? = null
+        private set
+
     /** Time at which the connection became idle. */
     var idleSinceMillis = 0L
 
@@ -46,6 +54,7 @@
         isInformational = false
         isKeptAlive = true
         isAnswerDone = false
+        isForeign = false
     }
 
     fun setReading(isReading: Boolean) {
@@ -75,19 +84,42 @@
         isInformational = !isBroken && head.status().codeClass() == HttpStatusClass.INFORMATIONAL
         if (isBroken || head.status() == HttpResponseStatus.SWITCHING_PROTOCOLS) return breakOff(current)
         if (isInformational) return
-        // A body that ends with the connection cannot be told from a truncated one.
-        if (!hasLength(head) || !current.accepts(head)) return breakOff(current)
+        if (!current.accepts(head)) return onForeignHead(current)
+        // Where targets do not end answers so, a body that ends with the connection cannot be told from a truncated one.
+        if (!hasLength(head) && !current.endsAnswersByClose) return breakOff(current)
         isHeadSeen = true
-        isKeptAlive = HttpUtil.isKeepAlive(head)
+        isKeptAlive = isKeptAlive && hasLength(head) && HttpUtil.isKeepAlive(head)
+        idleLimitMillis = keepAliveMillis(head)
         current.onHead(head)
     }
 
+    /** Such an answer came late or twice. The connection ends after the present call, because more may follow. */
+    private fun onForeignHead(current: UpstreamCall) {
+        if (!current.skipsForeignAnswers) return breakOff(current)
+        isKeptAlive = false
+        isForeign = true
+    }
+
+    private fun keepAliveMillis(head: HttpResponse): Long? {
+        val text = head.headers().get(KEEP_ALIVE) ?: return null
+        val seconds =
+            KEEP_ALIVE_TIMEOUT
+                .find(text)
+                ?.groupValues
+                ?.get(1)
+                ?.toLongOrNull() ?: return null
+        return seconds * MILLIS_PER_SECOND
+    }
+
     private fun onContent(
         current: UpstreamCall,
         content: HttpContent,
     ) {
-        if (isInformational) {
-            if (content is LastHttpContent) isInformational = false
+        if (isInformational || isForeign) {
+            if (content is LastHttpContent) {
+                isInformational = false
+                isForeign = false
+            }
             content.release()
             return
         }
@@ -147,6 +179,14 @@
         ctx: ChannelHandlerContext,
         cause: Throwable,
     ) {
+        // The decoder takes the end of the connection for the end of a body without a length, which a reset is not.
+        call?.let { if (!isAnswerDone) it.fail(FailureReason.CONNECTION_CLOSED) }
         ctx.close()
     }
+
+    private companion object {
+        val KEEP_ALIVE: AsciiString = AsciiString.cached("keep-alive")
+        val KEEP_ALIVE_TIMEOUT = Regex("timeout=(\\d{1,6})")
+        const val MILLIS_PER_SECOND = 1_000L
+    }
 }
