--- a/calls/src/main/kotlin/dev/baobabhollow/calls/Admission.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/Admission.kt
@@ -60,7 +60,8 @@
     private var holdingUploads = 0
     private var isDraining = false
     private var serviceMicros = settings.initialServiceMicros.toDouble()
-    private val routeServiceMicros = HashMap<RouteId, Double>()
+    private val classServiceMicros = DoubleArray(CallClass.entries.size) { settings.initialServiceMicros.toDouble() }
+    private val routeServiceMicros = HashMap<Pair<RouteId, CallClass>, Double>()
 
     /** Number of calls that hold a slot. */
     @get:Synchronized
@@ -157,7 +158,7 @@
         if (nowMillis >= request.deadlineMillis) return Refusal.DEADLINE_PASSED
         if (holding + queue.size < slots) return null
         val waitMicros = waitMicros(queue.countAhead(request) + 1)
-        val ownMicros = routeServiceMicros[request.route] ?: serviceMicros
+        val ownMicros = routeServiceMicros[request.route to request.callClass] ?: classServiceMicros[request.callClass.ordinal]
         // An answer after the deadline is as useless as none, so the call's own time at the target counts too. A call that
         // finds a free slot always runs; else a single slow spell could refuse all calls that would show its end.
         val endMillis = nowMillis + (waitMicros + ownMicros) / MICROS_PER_MILLI
@@ -215,9 +216,12 @@
         if (ticket.request.callClass == CallClass.UPLOAD) holdingUploads--
         val held = (nowMicros - ticket.grantedMicros).coerceAtLeast(0)
         if (!isMeasured) return
-        val ofRoute = routeServiceMicros[ticket.request.route] ?: serviceMicros
+        val index = ticket.request.callClass.ordinal
+        val key = ticket.request.route to ticket.request.callClass
+        val ofRoute = routeServiceMicros[key] ?: classServiceMicros[index]
         serviceMicros += (held - serviceMicros) * SERVICE_TIME_WEIGHT
-        routeServiceMicros[ticket.request.route] = ofRoute + (held - ofRoute) * SERVICE_TIME_WEIGHT
+        classServiceMicros[index] += (held - classServiceMicros[index]) * SERVICE_TIME_WEIGHT
+        routeServiceMicros[key] = ofRoute + (held - ofRoute) * SERVICE_TIME_WEIGHT
     }
 
     private fun refuse(
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/PrefixMatcher.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/PrefixMatcher.kt
@@ -9,7 +9,11 @@
 ) {
     private val prefixes = entries.keys.sorted()
     private val values = prefixes.map { entries.getValue(it) }
-    private val parents = IntArray(prefixes.size) { parentOf(it) }
+    private val parents = IntArray(prefixes.size).also { it.fill(-1) }
+
+    init {
+        for (index in prefixes.indices) parents[index] = parentOf(index)
+    }
 
     /** Returns the value of the longest prefix of [text], or null. */
     fun match(text: String): T? {
@@ -22,6 +26,10 @@
         return null
     }
 
-    private fun parentOf(index: Int): Int =
-        (index - 1 downTo 0).firstOrNull { prefixes[index].startsWith(prefixes[it]) } ?: -1
+    /** Follows the parents of the prefix before, since any prefix of this one is also among them or is that prefix. */
+    private fun parentOf(index: Int): Int {
+        var candidate = index - 1
+        while (candidate >= 0 && !prefixes[index].startsWith(prefixes[candidate])) candidate = parents[candidate]
+        return candidate
+    }
 }
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
@@ -7,6 +7,7 @@
 import dev.baobabhollow.model.Endpoint
 import dev.baobabhollow.model.FULL_SHARE_PERMILLE
 import dev.baobabhollow.model.FailureDomainId
+import dev.baobabhollow.model.MeshConfig
 import dev.baobabhollow.model.MoveId
 import dev.baobabhollow.model.NO_OFFSET
 import dev.baobabhollow.model.NodeId
@@ -36,11 +37,8 @@
     private val targets: Map<NodeId, TargetEndpoint>,
     /** Limits of what callers may send, if the configuration states them. */
     val callerLimits: CallerLimits? = null,
+    private val matchers: RouteMatchers = RouteMatchers(MeshConfig.EMPTY),
 ) {
-    private val matchers =
-        routes.values
-            .groupBy { it.config.host?.lowercase() }
-            .mapValues { (_, routes) -> PrefixMatcher(routes.associateBy { it.config.pathPrefix }) }
 
     /** Nodes whose targets the table holds. */
     val nodes: Set<NodeId> get() = targets.keys
@@ -50,8 +48,8 @@
         path: String,
         host: String? = null,
     ): Route? {
-        val ofHost = host?.let { matchers[it.lowercase()]?.match(path) }
-        return ofHost ?: matchers[null]?.match(path)
+        val ofHost = host?.let { matchers.ofHost[it.lowercase()]?.match(path)?.let(routes::get) }
+        return ofHost ?: matchers.ofHost[null]?.match(path)?.let(routes::get)
     }
 
     /** Returns the target beside [node] if the table holds it. */
@@ -64,13 +62,15 @@
 
         /**
          * Compiles a table from [state] and the targets in [view] that take new calls. The new release of a move in
-         * [heldMoves] gets no share.
+         * [heldMoves] gets no share. What depends on the configuration alone is taken from [previous] if it has not changed.
          */
         fun compile(
             state: ConfigurationState,
             view: FleetView,
             heldMoves: Set<MoveId>,
+            previous: RoutingTable? = null,
         ): RoutingTable {
+            val matchers = previous?.matchers?.takeIf { it.mesh === state.mesh } ?: RouteMatchers(state.mesh)
             val selfDomain = view.nodes[view.self]?.failureDomain
             val targets = servingTargets(state, view)
             val byService = targets.groupBy { it.service }
@@ -110,6 +110,7 @@
                 routes,
                 targets.associateBy { it.node },
                 state.mesh.callerLimits,
+                matchers,
             )
         }
 
@@ -154,6 +155,21 @@
     }
 }
 
+/** Finds the routes of [mesh] by host, null being all hosts, and prefix. */
+internal class RouteMatchers(
+    val mesh: MeshConfig,
+) {
+    val ofHost: Map<String?, PrefixMatcher<RouteId>> =
+        mesh.routes.entries
+            .filter { (_, route) -> isHeld(route) }
+            .groupBy { (_, route) -> route.host?.lowercase() }
+            .mapValues { (_, routes) -> PrefixMatcher(routes.associate { (id, route) -> route.pathPrefix to id }) }
+
+    /** A route to a service that is not there must not hide a shorter prefix. */
+    private fun isHeld(route: RouteConfig) =
+        route.service in mesh.services && route.split.all { it.service in mesh.services }
+}
+
 /** Holds a route with the service it leads to. */
 class Route(
     val id: RouteId,
--- a/configuration/src/main/kotlin/dev/baobabhollow/configuration/ConfigurationReplica.kt
+++ b/configuration/src/main/kotlin/dev/baobabhollow/configuration/ConfigurationReplica.kt
@@ -56,7 +56,9 @@
     fun transfer(): StateTransfer = StateTransfer(state, contentHash(state))
 
     private fun keepTail(entries: List<LogEntry>) {
-        tail.addAll(entries)
+        val kept = compacted(tail + entries)
+        tail.clear()
+        tail.addAll(kept)
         while (tail.size > MAX_TAIL_RECORDS) tailAfterOffset = tail.removeFirst().offset
     }
 
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/ShortMoveJudge.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/ShortMoveJudge.kt
@@ -19,13 +19,16 @@
  * summaries at the full share, and must stay below what operators allow (a tenth).
  */
 data class ShortMovePolicy(
-    val trialPermille: Int = 70,
+    val trialPermille: Int = 50,
     val trialUntil: Double = 0.5,
-    val middlePermille: Int = 300,
-    val middleUntil: Double = 0.58,
+    val middlePermille: Int = 250,
+    val middleUntil: Double = 0.57,
     val doneAt: Double = 0.8,
     /** Fewest failed calls that condemn a release. */
     val minErrors: Long = 5,
+    /** Fewest failed calls that condemn a release of whose calls at least [severeErrorShare] fail. */
+    val severeErrors: Long = 3,
+    val severeErrorShare: Double = 0.3,
     /** Share of failed calls from which on a release counts as bad, whatever the old one does. */
     val minErrorShare: Double = 0.12,
     /** Fewest calls with a latency that condemn a release for being slow. */
@@ -168,8 +171,7 @@
             val new = outcomes.new
             val old = outcomes.old
             if (!isSpread(new)) continue
-            val errorLimit = maxOf(policy.minErrorShare, policy.factor * old.errorShare.coerceAtMost(MAX_OLD_SHARE))
-            if (new.errors >= policy.minErrors && new.errorShare >= errorLimit) {
+            if (hasTooManyErrors(new, policy.factor * old.errorShare.coerceAtMost(MAX_OLD_SHARE))) {
                 return "errors on route $route: ${new.errors} of ${new.calls} calls, old ${old.errors} of ${old.calls}"
             }
             val slowLimit = maxOf(policy.minSlowShare, policy.factor * old.slowShare.coerceAtMost(MAX_OLD_SHARE))
@@ -180,6 +182,14 @@
         return null
     }
 
+    private fun hasTooManyErrors(
+        new: Side,
+        oldLimit: Double,
+    ): Boolean {
+        val isSevere = new.errors >= policy.severeErrors && new.errorShare >= maxOf(policy.severeErrorShare, oldLimit)
+        return isSevere || (new.errors >= policy.minErrors && new.errorShare >= maxOf(policy.minErrorShare, oldLimit))
+    }
+
     /** One ill target must not condemn a release that other targets serve well. */
     private fun isSpread(side: Side): Boolean {
         val known = side.callsOf.filterValues { it >= MIN_CALLS_OF_TARGET }.keys
--- /dev/null
+++ b/moves/src/test/kotlin/dev/baobabhollow/moves/ShortMoveJudgeSpec.kt
@@ -0,0 +1,182 @@
+package dev.baobabhollow.moves
+
+import dev.baobabhollow.model.FULL_SHARE_PERMILLE
+import dev.baobabhollow.model.FailureDomainId
+import dev.baobabhollow.model.LatencyHistogram
+import dev.baobabhollow.model.MovePhase
+import dev.baobabhollow.model.MovePlan
+import dev.baobabhollow.model.MoveState
+import dev.baobabhollow.model.NodeId
+import dev.baobabhollow.model.OTHER_RELEASES
+import dev.baobabhollow.model.OutcomeSummary
+import dev.baobabhollow.model.ReleaseId
+import dev.baobabhollow.model.RouteId
+import dev.baobabhollow.model.ServiceId
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.doubles.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import kotlin.random.Random
+
+private val SERVICE = ServiceId("s")
+private val NEW = ReleaseId("v2")
+private val OLD = ReleaseId("v1")
+private const val SPAN_MILLIS = 16_000L
+private const val STEP_MILLIS = 200L
+private const val BASE_MICROS = 90_000L
+
+/** Says what share of the new release's calls fail or are slow at a time in 0..1 of the move and at a share in permille. */
+private class Release(
+    val errorShare: (Double, Int, RouteId) -> Double = { _, _, _ -> 0.004 },
+    val slowShare: (Double, Int, RouteId) -> Double = { _, _, _ -> 0.0 },
+)
+
+/** Replays the calls of a service with [callsPerSecond] against the judge, whose counts are [lagMillis] old. */
+private class Replay(
+    val release: Release,
+    val callsPerSecond: Int = 286,
+    seed: Int = 1,
+    val lagMillis: Long = 600,
+) {
+    private val random = Random(seed)
+    private val judge = shortMoveJudge()
+    private val plan = MovePlan(SERVICE, OTHER_RELEASES, NEW, 0, SPAN_MILLIS, SPAN_MILLIS)
+    private val routes = listOf(RouteId("a"), RouteId("b"))
+    private val late = ArrayDeque<Pair<Long, OutcomeSummary>>()
+    var state = MoveState(plan, "operator")
+    var newCalls = 0L
+    var allCalls = 0L
+    var finishedAtMillis: Long? = null
+
+    fun run(): Replay {
+        for (now in 0 until SPAN_MILLIS step STEP_MILLIS) {
+            serve(now)
+            while (late.isNotEmpty() && late.first().first <= now) judge.observe(late.removeFirst().second)
+            if (!state.phase.isFinal) take(judge.decide(state, now), now)
+        }
+        return this
+    }
+
+    private fun take(
+        decision: MoveDecision,
+        now: Long,
+    ) {
+        state =
+            when (decision) {
+                is MoveDecision.Hold -> return
+
+                is MoveDecision.Advance -> {
+                    val phase = if (decision.sharePermille >= FULL_SHARE_PERMILLE) MovePhase.WATCHING else MovePhase.RAMPING
+                    state.copy(stage = state.stage + 1, sharePermille = decision.sharePermille, phase = phase)
+                }
+
+                is MoveDecision.TakeBack -> state.copy(phase = MovePhase.TAKEN_BACK, sharePermille = 0)
+
+                is MoveDecision.Finish -> state.copy(phase = MovePhase.DONE)
+            }
+        if (state.phase.isFinal) finishedAtMillis = now
+    }
+
+    private fun serve(now: Long) {
+        val calls = (callsPerSecond * STEP_MILLIS / 1_000).toInt()
+        allCalls += calls
+        repeat(calls) {
+            val route = routes[if (random.nextDouble() < 0.8) 0 else 1]
+            val isNew = random.nextInt(FULL_SHARE_PERMILLE) < state.sharePermille
+            if (isNew) newCalls++
+            val elapsed = now.toDouble() / SPAN_MILLIS
+            val share = state.sharePermille
+            val isError = random.nextDouble() < if (isNew) release.errorShare(elapsed, share, route) else 0.004
+            val isSlow = isNew && random.nextDouble() < release.slowShare(elapsed, share, route)
+            val spread = 0.5 + random.nextDouble()
+            val micros = (BASE_MICROS * spread).toLong() * if (isSlow) 8 else 1
+            late += now + lagMillis to summary(now, route, if (isNew) NEW else OLD, isError, micros, it)
+        }
+    }
+
+    private fun summary(
+        now: Long,
+        route: RouteId,
+        release: ReleaseId,
+        isError: Boolean,
+        micros: Long,
+        index: Int,
+    ) = OutcomeSummary(
+        node = NodeId("n${random.nextInt(4)}-$release"),
+        failureDomain = FailureDomainId("z"),
+        service = SERVICE,
+        route = route,
+        release = release,
+        endsAtMillis = now * 1_000 + index,
+        calls = 1,
+        errors = if (isError) 1 else 0,
+        shed = 0,
+        latency = LatencyHistogram().apply { record(micros) }.encode(),
+    )
+}
+
+class ShortMoveJudgeSpec :
+    DescribeSpec({
+        fun exposure(replay: Replay) = replay.newCalls.toDouble() / replay.allCalls
+
+        describe("a move that must be done within seconds") {
+            it("completes a good release before its deadline") {
+                repeat(20) { seed ->
+                    listOf(286, 82).forEach { calls ->
+                        val replay = Replay(Release(), calls, seed).run()
+                        replay.state.phase shouldBe MovePhase.DONE
+                        replay.finishedAtMillis!!.toDouble() shouldBeLessThan SPAN_MILLIS * 0.85
+                    }
+                }
+            }
+
+            // Guards against a bad release that gets more than a tenth of the calls. Fifty calls more are allowed.
+            it("takes back every kind of bad release with a small share of the calls") {
+                val bad =
+                    mapOf(
+                        "errors" to Release(errorShare = { _, _, _ -> 0.5 }),
+                        "slow" to Release(slowShare = { _, _, _ -> 0.5 }),
+                        "late errors" to Release(errorShare = { time, _, _ -> if (time > 0.2) 0.5 else 0.0 }),
+                        "under load" to Release(errorShare = { _, share, _ -> if (share > 500) 0.5 else 0.0 }),
+                        "one route" to Release(errorShare = { _, _, route -> if (route.value == "b") 0.5 else 0.0 }),
+                    )
+                bad.forEach { (kind, release) ->
+                    repeat(20) { seed ->
+                        listOf(286, 82).forEach { calls ->
+                            val replay = Replay(release, calls, seed).run()
+                            val allowed = 0.1 + 50.0 / (calls * SPAN_MILLIS / 1_000)
+                            (kind to replay.state.phase) shouldBe (kind to MovePhase.TAKEN_BACK)
+                            exposure(replay) shouldBeLessThan allowed
+                        }
+                    }
+                }
+            }
+
+            // Guards against one ill target that condemns a good release.
+            it("does not condemn a release for one of its targets") {
+                val judge = shortMoveJudge()
+                val plan = MovePlan(SERVICE, OTHER_RELEASES, NEW, 0, SPAN_MILLIS, SPAN_MILLIS)
+                val state = MoveState(plan, "operator", stage = 1, sharePermille = 70)
+                judge.decide(state, 0)
+                repeat(40) { index ->
+                    listOf("ill" to 1L, "well" to 0L).forEach { (node, errors) ->
+                        val latency = LatencyHistogram().apply { record(BASE_MICROS) }.encode()
+                        judge.observe(
+                            OutcomeSummary(
+                                NodeId(node),
+                                FailureDomainId("z"),
+                                SERVICE,
+                                RouteId("a"),
+                                NEW,
+                                index.toLong(),
+                                1,
+                                errors,
+                                0,
+                                latency,
+                            ),
+                        )
+                    }
+                }
+                (judge.decide(state, 1_000) is MoveDecision.TakeBack) shouldBe false
+            }
+        }
+    })
--- a/node/src/main/kotlin/dev/baobabhollow/node/AnnouncedTarget.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/AnnouncedTarget.kt
@@ -57,6 +57,7 @@
     private var last: TargetHeartbeat? = null
     private var heardAtMillis = 0L
     private var isDown = false
+    private var latestBornMillis = Long.MIN_VALUE
     private val ended = LinkedHashSet<Pair<String, Long?>>()
 
     /** The target as other nodes shall see it, or null if there is none. */
@@ -91,16 +92,16 @@
         if (next.endpoint != endpoint || isEnded || isStale(next)) return Announced.IGNORED
         val before = record
         last = next
+        latestBornMillis = maxOf(latestBornMillis, next.bornMillis ?: latestBornMillis)
         heardAtMillis = nowMillis
         isDown = false
         return if (record == before) Announced.CONFIRMED else Announced.CHANGED
     }
 
     private fun isStale(next: TargetHeartbeat): Boolean {
+        if (next.bornMillis != null && next.bornMillis < latestBornMillis) return true
         val known = last ?: return false
-        val knownBorn = known.bornMillis
-        val nextBorn = next.bornMillis
-        if (knownBorn != null && nextBorn != null && nextBorn != knownBorn) return nextBorn < knownBorn
+        if (next.bornMillis != known.bornMillis) return false
         return next.instance == known.instance && next.sequence <= known.sequence
     }
 
--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -219,7 +219,7 @@
         held: Set<MoveId>,
     ) = synchronized(tableLock) {
         val before = table.get()
-        val next = RoutingTable.compile(state, faults.reachable(view), held)
+        val next = RoutingTable.compile(state, faults.reachable(view), held, before)
         table.set(next)
         versionTimes.note(state.version, nowMillis())
         verdicts.update(state)
--- a/node/src/main/kotlin/dev/baobabhollow/node/PlatformTuning.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/PlatformTuning.kt
@@ -69,7 +69,8 @@
         membership = MembershipSettings(urgentPeriodMillis = 100),
         // A configuration must be in force within two seconds of its acknowledgement, also in a domain of a dozen nodes.
         pushFanOut = 8,
-        pullJitterMillis = 100,
+        pullJitterMillis = 60,
+        announcesRecords = true,
         requestTimeoutMillis = 1_500,
         peerSilenceMillis = 3_000,
         startGraceMillis = 0,
--- /dev/null
+++ b/node/src/test/kotlin/dev/baobabhollow/node/AnnouncedTargetSpec.kt
@@ -0,0 +1,85 @@
+package dev.baobabhollow.node
+
+import dev.baobabhollow.model.Endpoint
+import dev.baobabhollow.model.ReleaseId
+import dev.baobabhollow.model.ServiceId
+import dev.baobabhollow.model.TargetStatus
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+
+private val ENDPOINT = Endpoint("10.1.0.8", 8301)
+private const val SILENCE_MILLIS = 6_000L
+
+private fun beat(
+    instance: String = "i-1",
+    born: Long? = 100,
+    sequence: Long = 1,
+    isDraining: Boolean = false,
+    endpoint: Endpoint = ENDPOINT,
+) = TargetHeartbeat(instance, born, sequence, endpoint, ServiceId("s"), ReleaseId("v1"), 12, isDraining)
+
+class AnnouncedTargetSpec :
+    DescribeSpec({
+        describe("the target beside a node") {
+            it("is unknown until its first heartbeat") {
+                val target = AnnouncedTarget(ENDPOINT, SILENCE_MILLIS)
+                target.record shouldBe null
+                target.take(beat(), 0) shouldBe Announced.CHANGED
+                target.record?.instance shouldBe "i-1"
+                target.record?.status shouldBe TargetStatus.SERVING
+                target.take(beat(sequence = 2), 0) shouldBe Announced.CONFIRMED
+            }
+
+            // Guards against a heartbeat that was held up by a partition and makes a draining target serve again.
+            it("ignores heartbeats that come late") {
+                val target = AnnouncedTarget(ENDPOINT, SILENCE_MILLIS)
+                target.take(beat(sequence = 5), 0)
+                target.take(beat(sequence = 6, isDraining = true), 0) shouldBe Announced.CHANGED
+                target.take(beat(sequence = 4), 0) shouldBe Announced.IGNORED
+                target.take(beat(sequence = 6), 0) shouldBe Announced.IGNORED
+                target.record?.status shouldBe TargetStatus.DRAINING
+            }
+
+            // Guards against a heartbeat of a crashed target that arrives after its successor has announced itself.
+            it("belongs to the start that was born last, also under the same name") {
+                val target = AnnouncedTarget(ENDPOINT, SILENCE_MILLIS)
+                target.take(beat(born = 100, sequence = 50), 0)
+                target.take(beat(instance = "i-2", born = 200, sequence = 1), 0) shouldBe Announced.CHANGED
+                target.take(beat(born = 100, sequence = 51), 0) shouldBe Announced.IGNORED
+                target.take(beat(instance = "i-2", born = 300, sequence = 1, isDraining = true), 0)
+                target.take(beat(instance = "i-2", born = 200, sequence = 2), 0) shouldBe Announced.IGNORED
+                target.record?.status shouldBe TargetStatus.DRAINING
+            }
+
+            // Guards against work for a target that has left and still serves for some seconds.
+            it("is gone once it has left, and a later heartbeat does not bring it back") {
+                val target = AnnouncedTarget(ENDPOINT, SILENCE_MILLIS)
+                target.take(beat(), 0)
+                target.take(TargetLeave("i-2", 200), 0) shouldBe Announced.IGNORED
+                target.take(TargetLeave("i-1", 50), 0) shouldBe Announced.IGNORED
+                target.take(TargetLeave("i-1", null), 0) shouldBe Announced.CHANGED
+                target.record shouldBe null
+                target.take(beat(sequence = 9), 0) shouldBe Announced.IGNORED
+                target.take(beat(instance = "i-0", born = 99), 0) shouldBe Announced.IGNORED
+                target.take(beat(born = 101), 0) shouldBe Announced.CHANGED
+            }
+
+            it("names no target at another address") {
+                val target = AnnouncedTarget(ENDPOINT, SILENCE_MILLIS)
+                target.take(beat(endpoint = Endpoint("10.1.0.9", 8301)), 0) shouldBe Announced.IGNORED
+                target.record shouldBe null
+            }
+
+            it("is down when it is silent for too long, until it is heard again") {
+                val target = AnnouncedTarget(ENDPOINT, SILENCE_MILLIS)
+                target.checkSilence(SILENCE_MILLIS * 2) shouldBe false
+                target.take(beat(), 0)
+                target.checkSilence(SILENCE_MILLIS) shouldBe false
+                target.checkSilence(SILENCE_MILLIS + 1) shouldBe true
+                target.record?.status shouldBe TargetStatus.DOWN
+                target.checkSilence(SILENCE_MILLIS + 2) shouldBe false
+                target.take(beat(sequence = 2), SILENCE_MILLIS + 3) shouldBe Announced.CHANGED
+                target.record?.status shouldBe TargetStatus.SERVING
+            }
+        }
+    })
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlCore.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlCore.kt
@@ -8,6 +8,7 @@
 import dev.baobabhollow.model.LogError
 import dev.baobabhollow.model.MoveId
 import dev.baobabhollow.model.MoveStageRecord
+import dev.baobabhollow.model.NO_OFFSET
 import dev.baobabhollow.model.NodeRecord
 import dev.baobabhollow.model.NodeStatus
 import dev.baobabhollow.model.OrderedStage
@@ -32,6 +33,7 @@
     private var startedMillis = 0L
     private var leaving: ControlEvent.LeaveRequested? = null
     private var leftAtMillis = 0L
+    private var announcedOffset = NO_OFFSET
 
     val view: FleetView get() = membership.view
     val state: ConfigurationState get() = ordered.mergeInto(dissemination.state)
@@ -57,6 +59,7 @@
             nowMillis - startedMillis,
             nowMillis,
         )
+        announceRecords()
         metrics.showLiveNodes(view.live().size)
         completeLeave(nowMillis)
     }
@@ -80,6 +83,14 @@
             is ControlEvent.SelfChanged -> changeSelf(event.change, nowMillis)
             is ControlEvent.LeaveRequested -> leave(event, nowMillis)
         }
+        announceRecords()
+    }
+
+    /** A datagram tells peers the new position, so that those behind pull what they lack. */
+    private fun announceRecords() {
+        if (!settings.announcesRecords || !position.isConfirmed || position.offset <= announcedOffset) return
+        announcedOffset = position.offset
+        spread(emptyList(), emptyList())
     }
 
     fun observe(summary: OutcomeSummary) = outcomes.add(summary, state)
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlaneSettings.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlaneSettings.kt
@@ -39,6 +39,11 @@
     val leadDelayMillis: Long = 5_000,
     /** Time without an answer from any lead after which a node judges by its own outcomes. */
     val leadSilenceMillis: Long = 3_000,
+    /**
+     * True if new records are announced to peers, which then pull them once, instead of pushed. Suits records of tens of
+     * kilobytes, of which every node would otherwise get several copies.
+     */
+    val announcesRecords: Boolean = false,
     /** False where the log itself keeps the newest record of each key, so that readers need no snapshots. */
     val writesSnapshots: Boolean = true,
 )
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
@@ -217,6 +217,7 @@
         view: FleetView,
         isLogReader: Boolean,
     ) {
+        if (settings.announcesRecords) return
         val (near, far) =
             view
                 .live()
--- /dev/null
+++ b/peers/src/test/kotlin/dev/baobabhollow/peers/OrderedMovesSpec.kt
@@ -0,0 +1,100 @@
+package dev.baobabhollow.peers
+
+import dev.baobabhollow.model.ConfigurationState
+import dev.baobabhollow.model.MoveEvidence
+import dev.baobabhollow.model.MoveId
+import dev.baobabhollow.model.MoveOrder
+import dev.baobabhollow.model.MovePhase
+import dev.baobabhollow.model.MoveStageRecord
+import dev.baobabhollow.model.OrderedStage
+import dev.baobabhollow.model.ReleaseId
+import dev.baobabhollow.model.ServiceId
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeSameInstanceAs
+
+private val SERVICE = ServiceId("s")
+private val RELEASE = ReleaseId("v2")
+private val MOVE = MoveId("s/4")
+
+private fun stage(
+    number: Int,
+    phase: MovePhase,
+    share: Int = 70,
+    move: MoveId = MOVE,
+) = OrderedStage(move, SERVICE, RELEASE, number, phase, share, startedAtMillis = 5, completeByMillis = 105)
+
+private fun record(
+    follows: Int,
+    phase: MovePhase,
+    share: Int = 70,
+) = MoveStageRecord(MOVE, follows, phase, share, "test", MoveEvidence.NONE)
+
+class OrderedMovesSpec :
+    DescribeSpec({
+        val state = ConfigurationState(orders = mapOf(SERVICE to MoveOrder(MOVE, RELEASE, 100)))
+
+        describe("an ordered move") {
+            it("begins without a share when its order is read") {
+                val moves = OrderedMoves { 5 }
+                val move = moves.mergeInto(state).moves.getValue(MOVE)
+                move.sharePermille shouldBe 0
+                move.plan.to shouldBe RELEASE
+                move.plan.completeByMillis shouldBe 105
+                moves.mergeInto(state) shouldBeSameInstanceAs moves.mergeInto(state)
+            }
+
+            it("takes stages in their order only") {
+                val moves = OrderedMoves { 5 }
+                moves.mergeInto(state)
+                moves.apply(record(1, MovePhase.RAMPING)) shouldBe null
+                moves.apply(record(0, MovePhase.RAMPING))?.stage shouldBe 1
+                moves.apply(record(0, MovePhase.WATCHING, 1_000)) shouldBe null
+                moves.mergeInto(state).moves.getValue(MOVE).sharePermille shouldBe 70
+            }
+
+            // Guards against nodes that end in different stages because news crossed on the way.
+            it("ends in the same stage whatever the order of arrival") {
+                val news =
+                    listOf(
+                        stage(1, MovePhase.RAMPING),
+                        stage(2, MovePhase.RAMPING, 300),
+                        stage(3, MovePhase.WATCHING, 1_000),
+                        stage(2, MovePhase.TAKEN_BACK, 0),
+                    )
+                news.indices.forEach { first ->
+                    val moves = OrderedMoves { 5 }
+                    (news.drop(first) + news.take(first)).forEach(moves::take)
+                    moves.mergeInto(state).moves.getValue(MOVE).phase shouldBe MovePhase.TAKEN_BACK
+                }
+            }
+
+            // Guards against a move that is decided twice, with two outcomes.
+            it("keeps its final stage") {
+                val moves = OrderedMoves { 5 }
+                moves.take(stage(4, MovePhase.DONE, 1_000)) shouldBe true
+                moves.take(stage(9, MovePhase.TAKEN_BACK, 0)) shouldBe false
+                moves.apply(record(4, MovePhase.TAKEN_BACK, 0)) shouldBe null
+                moves.mergeInto(state).moves.getValue(MOVE).phase shouldBe MovePhase.DONE
+            }
+
+            // Guards against stages of a replaced order that decide about the present one.
+            it("ends with a newer order for its service") {
+                val moves = OrderedMoves { 5 }
+                moves.mergeInto(state)
+                val next = MoveId("s/9")
+                val later = ConfigurationState(orders = mapOf(SERVICE to MoveOrder(next, RELEASE, 100)))
+                moves.mergeInto(later).moves.keys shouldBe setOf(next)
+                moves.take(stage(4, MovePhase.DONE))
+                moves.mergeInto(later).moves.getValue(next).phase shouldBe MovePhase.RAMPING
+            }
+
+            it("repeats only stages that somebody has decided on") {
+                val moves = OrderedMoves { 5 }
+                moves.mergeInto(state)
+                moves.stagesToRepeat() shouldBe emptyList()
+                moves.take(stage(1, MovePhase.RAMPING))
+                moves.stagesToRepeat() shouldBe listOf(stage(1, MovePhase.RAMPING))
+            }
+        }
+    })
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
@@ -70,7 +70,6 @@
         headers.remove(HttpHeaderNames.EXPECT)
         headers.remove(MeshHeaders.OUTCOME)
         headers.set(MeshHeaders.HOP, hop)
-        node.settings.callerService?.let { headers.set(MeshHeaders.CALLER, it.value) }
         return start(front, deadline, head, route, keyOwner, caller.callId)
     }
 
