--- a/cli/src/main/kotlin/dev/baobabhollow/cli/NodeCommand.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/NodeCommand.kt
@@ -26,6 +26,7 @@
                 fail("$settings: ${errors.size} errors\n" + errors.joinToString("\n") { "  $it" })
             }
         System.setProperty(LOG_NODE_PROPERTY, parsed.node.value)
+        if (parsed.platform != PlatformKind.OWN) logWithoutBlocking()
         val node = nodeOf(parsed)
         try {
             node.start()
@@ -37,6 +38,11 @@
         return EXIT_DONE
     }
 
+    private fun logWithoutBlocking() {
+        System.setProperty("baobabhollow.logTarget", "SYSTEM_OUT")
+        System.setProperty("baobabhollow.logAppender", "queue")
+    }
+
     /** Steps of the wall clock must not end calls early, so a node of a platform whose clocks step follows a steady one. */
     private fun nodeOf(settings: NodeSettings): Node {
         if (settings.platform == PlatformKind.OWN) return Node(settings)
--- /dev/null
+++ b/node/src/main/kotlin/dev/baobabhollow/node/ChangeLog.kt
@@ -0,0 +1,69 @@
+package dev.baobabhollow.node
+
+import dev.baobabhollow.membership.FleetView
+import dev.baobabhollow.model.ConfigurationState
+import dev.baobabhollow.model.MoveId
+import dev.baobabhollow.model.NodeRecord
+import org.apache.logging.log4j.Level
+
+/**
+ * Logs each change of what the node believes: the version, moves with their reasons and evidence, and other nodes with
+ * their targets. Not safe for use by several threads.
+ */
+internal class ChangeLog {
+    private var state = ConfigurationState.INITIAL
+    private var nodes: Map<String, String> = emptyMap()
+    private var held: Set<MoveId> = emptySet()
+
+    /** Compares with what was noted last and logs the differences. */
+    fun note(
+        state: ConfigurationState,
+        view: FleetView,
+        held: Set<MoveId>,
+    ) {
+        if (state.version != this.state.version) {
+            EventLog.write("version_in_force", "version" to state.version, "offset" to state.offset)
+        }
+        if (state.moves != this.state.moves) noteMoves(state)
+        (held - this.held).forEach { EventLog.write("move_held", "move" to it, level = Level.WARN) }
+        noteNodes(view)
+        this.state = state
+        this.held = held
+    }
+
+    private fun noteMoves(state: ConfigurationState) =
+        state.moves.filter { (id, move) -> this.state.moves[id] != move }.forEach { (id, move) ->
+            EventLog.write(
+                "move_stage",
+                "move" to id,
+                "to" to move.plan.to,
+                "stage" to move.stage,
+                "phase" to move.phase,
+                "sharePermille" to move.sharePermille,
+                "completeByMillis" to move.plan.completeByMillis,
+                "reason" to move.reason,
+                "evidence" to move.evidence,
+            )
+        }
+
+    private fun noteNodes(view: FleetView) {
+        val next = view.nodes.values.associate { it.node.value to describe(it) }
+        val changed = next.filter { (node, text) -> nodes[node] != text }
+        nodes = next
+        changed.entries.take(MAX_LINES).forEach { (node, text) ->
+            EventLog.write("node_seen", "other" to node, "record" to text)
+        }
+        if (changed.size > MAX_LINES) EventLog.write("nodes_seen", "others" to changed.size - MAX_LINES)
+    }
+
+    private fun describe(record: NodeRecord): String {
+        val target = record.target
+        val service = target?.let { "${it.service} ${it.release} ${it.instance} ${it.status}" }
+        return "${record.status} incarnation ${record.incarnation} target $service"
+    }
+
+    private companion object {
+        /** A mass restart changes many nodes at once; a few lines and their number say enough. */
+        const val MAX_LINES = 8
+    }
+}
--- a/node/src/main/kotlin/dev/baobabhollow/node/EventLog.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/EventLog.kt
@@ -7,7 +7,7 @@
 /** System property that names the node in each line of the log. Set it before the first line is written. */
 const val LOG_NODE_PROPERTY = "baobabhollow.node"
 
-/** Writes log events with stable names and fields. `docs/operations.md` lists them. */
+/** Writes log events with stable names and fields. `docs/OPERATIONS.md` lists them. */
 object EventLog {
     private val logger = LogManager.getLogger("dev.baobabhollow.node")
 
--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -44,6 +44,7 @@
     private val burn = BurnCounters()
     private val faults: FaultInjection = FaultInjection { takeFaults(it) }
     private val tableLock = Any()
+    private val changeLog = ChangeLog()
     private val control = controlPlane(registry)
     private val logClaims =
         if (settings.platform == PlatformKind.OWN) {
@@ -226,7 +227,7 @@
         proxy?.forgetAbsent(next)
         // An announced target is known here before the view has it, and the view must not bring back the one before.
         if (settings.announcedTarget == null) view.nodes[view.self]?.let { proxy?.update(it) }
-        if (next.version != before.version) EventLog.write("version_in_force", "version" to next.version)
+        changeLog.note(state, view, held)
     }
 
     /** Reads the state inside the lock, so that the table never goes back to an earlier one. */
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
@@ -11,7 +11,9 @@
 import dev.baobabhollow.model.ConfigurationState
 import dev.baobabhollow.model.Endpoint
 import dev.baobabhollow.model.LogBatch
+import dev.baobabhollow.model.LogEntry
 import dev.baobabhollow.model.NodeRecord
+import dev.baobabhollow.model.UnreadableRecord
 import org.apache.logging.log4j.LogManager
 import java.util.random.RandomGenerator
 
@@ -168,6 +170,7 @@
         when (val result = replica.offer(batch)) {
             is OfferResult.Applied -> {
                 moveOn()
+                batch.entries.filter { it.offset > before }.forEach(::reportUnreadable)
                 val fresh = RecordBatch(before, batch.entries.filter { it.offset > before })
                 if (position.isConfirmed) push(fresh, view, isLogReader)
             }
@@ -278,6 +281,11 @@
         return candidates[random.nextInt(candidates.size)]
     }
 
+    private fun reportUnreadable(entry: LogEntry) {
+        val body = entry.record.body as? UnreadableRecord ?: return
+        LOG.warn("event=record_unreadable offset={} reason={}", entry.offset, body.reason)
+    }
+
     private fun reportDivergence(endpoint: Endpoint) {
         metrics.countDivergence()
         if (reportedOffset == position.offset) return
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/LogReader.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/LogReader.kt
@@ -40,6 +40,7 @@
 
     /** Is set again after each outage, in which stages of ordered moves may have been missed. */
     private var needsStages = true
+    private var isLost = false
 
     init {
         isDaemon = true
@@ -90,11 +91,15 @@
         batch: LogBatch,
     ) {
         backoff.reset()
+        if (isLost) LOG.info("event=log_regained after_offset={} next_offset={}", after, batch.nextOffset)
+        isLost = false
         hand { ControlEvent.LogRead(after, batch, it) }
     }
 
     private fun handle(error: LogError) {
         post(ControlEvent.LogFailed(error))
+        if (!isLost) LOG.warn("event=log_lost error={}", error)
+        isLost = true
         needsStages = true
         if (error is LogError.Trimmed) recover(error.earliestOffset) else pauseMillis(backoff.nextMillis())
     }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
@@ -138,6 +138,19 @@
         }
     }
 
+    /** Logs that the own target did not take a call, with what the decision rests on. */
+    fun logRefusal(
+        callId: String,
+        route: Route,
+        failure: CallFailure,
+        leftMillis: Long,
+    ) = callLog.write {
+        "event=call_refused call=$callId route=${route.id} service=${route.service.id} version=${tables().version} " +
+            "reason=${failure.reason.text} outcome=${failure.outcome.text} in_use=${admission.inUse} " +
+            "waiting=${admission.waiting} left_ms=$leftMillis room_in_ms=${failure.roomInMillis} " +
+            "instance=${self.target?.instance} target_status=${self.target?.status}"
+    }
+
     fun logUnexpected(cause: Throwable) {
         LOG.error("event=proxy_unexpected_error", cause)
     }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
@@ -166,6 +166,7 @@
     /** Ends the call with an error before anything was handed over. */
     private fun finish(failure: CallFailure) {
         isEnded = true
+        node.logRefusal(callId, route, failure, deadlineMillis - node.nowMillis())
         pending.clear()
         freeSlot(isMeasured = false)
         key?.release()
@@ -226,7 +227,9 @@
         val reason = if (facts.isOtherInstance) FailureReason.WRONG_TARGET else FailureReason.TARGET_REFUSED
         val wasSilent = isSilent
         isSilent = true
-        if (!wasSilent) listener.onFailure(CallFailure.notRun(reason))
+        val failure = CallFailure.notRun(reason)
+        node.logRefusal(callId, route, failure, deadlineMillis - node.nowMillis())
+        if (!wasSilent) listener.onFailure(failure)
     }
 
     private fun mayHaveBody(code: Int) = code != NO_CONTENT && code != NOT_MODIFIED && head?.method() != HttpMethod.HEAD
@@ -268,6 +271,7 @@
         isEnded = true
         record(TargetResult.ERROR)
         key?.fail(failure.outcome == CallOutcome.UNKNOWN)
+        node.logRefusal(callId, route, failure, deadlineMillis - node.nowMillis())
         if (!isSilent) listener.onFailure(failure)
     }
 
