--- a/cli/src/main/kotlin/dev/baobabhollow/cli/NodeCommand.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/NodeCommand.kt
@@ -1,18 +1,24 @@
 package dev.baobabhollow.cli
 
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrElse
+import dev.baobabhollow.node.EventLog
 import dev.baobabhollow.node.LOG_NODE_PROPERTY
 import dev.baobabhollow.node.Node
 import dev.baobabhollow.node.NodeSettings
 import dev.baobabhollow.node.PlatformKind
 import dev.baobabhollow.node.parseSettings
 import dev.baobabhollow.platform.ConsortiumPlatform
-import kotlinx.cli.ArgType
-import kotlinx.cli.required
+import java.io.File
 import java.io.IOException
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
+import kotlinx.cli.ArgType
+import kotlinx.cli.required
+import org.apache.logging.log4j.Level
+import sun.misc.Signal
 
 /** Runs a node until it gets SIGTERM or SIGINT. */
 internal class NodeCommand(
@@ -34,6 +40,7 @@
             fail("cannot start the node of $settings: $e")
         }
         stopAtShutdown(node)
+        reloadAtHangUp(node)
         CountDownLatch(1).await()
         return EXIT_DONE
     }
@@ -52,6 +59,20 @@
         return Node(settings, clock, adapter = ConsortiumPlatform(settings.platformLog, clock))
     }
 
+    /** Reads the settings again on SIGHUP, which by itself would end the JVM. Settings with errors change nothing. */
+    private fun reloadAtHangUp(node: Node) =
+        Signal.handle(Signal("HUP")) {
+            val text = runCatching { File(settings).readText() }
+            val parsed = text.map { parseSettings(it) }
+            val next = parsed.getOrNull()?.get()
+            if (next != null) {
+                node.reload(next)
+            } else {
+                val errors = text.exceptionOrNull() ?: parsed.getOrNull()?.getError()
+                EventLog.write("settings_rejected", "file" to settings, "errors" to errors, level = Level.WARN)
+            }
+        }
+
     /** Ends the process with code 0 after a graceful stop; by itself the JVM would report the signal as its code. */
     private fun stopAtShutdown(node: Node) {
         val stopped = AtomicBoolean()
--- a/node/src/main/kotlin/dev/baobabhollow/node/AnnouncedTarget.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/AnnouncedTarget.kt
@@ -11,14 +11,14 @@
     /** Identifies the target. */
     val instance: String
 
-    /** Epoch milliseconds of the target's start by its own clock, or null if it does not say. */
+    /** Epoch milliseconds of the target's start by its own clock, or null if a leave does not say. */
     val bornMillis: Long?
 }
 
 /** Repeats what a target is. [sequence] rises with each heartbeat of one start. */
 data class TargetHeartbeat(
     override val instance: String,
-    override val bornMillis: Long?,
+    override val bornMillis: Long,
     val sequence: Long,
     val endpoint: Endpoint,
     val service: ServiceId,
@@ -58,7 +58,7 @@
     private var heardAtMillis = 0L
     private var isDown = false
     private var latestBornMillis = Long.MIN_VALUE
-    private val ended = LinkedHashSet<Pair<String, Long?>>()
+    private val ended = LinkedHashSet<Pair<String, Long>>()
 
     /** The target as other nodes shall see it, or null if there is none. */
     val record: TargetRecord?
@@ -92,14 +92,14 @@
         if (next.endpoint != endpoint || isEnded || isStale(next)) return Announced.IGNORED
         val before = record
         last = next
-        latestBornMillis = maxOf(latestBornMillis, next.bornMillis ?: latestBornMillis)
+        latestBornMillis = maxOf(latestBornMillis, next.bornMillis)
         heardAtMillis = nowMillis
         isDown = false
         return if (record == before) Announced.CONFIRMED else Announced.CHANGED
     }
 
     private fun isStale(next: TargetHeartbeat): Boolean {
-        if (next.bornMillis != null && next.bornMillis < latestBornMillis) return true
+        if (next.bornMillis < latestBornMillis) return true
         val known = last ?: return false
         if (next.bornMillis != known.bornMillis) return false
         return next.instance == known.instance && next.sequence <= known.sequence
@@ -108,9 +108,7 @@
     private fun leave(message: TargetLeave): Announced {
         val known = last
         if (known == null || known.instance != message.instance) return Announced.IGNORED
-        if (message.bornMillis != null && known.bornMillis != null && message.bornMillis < known.bornMillis) {
-            return Announced.IGNORED
-        }
+        if (message.bornMillis != null && message.bornMillis < known.bornMillis) return Announced.IGNORED
         ended += known.instance to known.bornMillis
         if (ended.size > MAX_ENDED) ended.remove(ended.first())
         last = null
--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -88,6 +88,9 @@
     @Volatile
     private var stopping = false
 
+    @Volatile
+    private var limits = settings.limits
+
     /** Binds all ports and starts to serve. Throws when a port is taken. */
     fun start() {
         operators.start()
@@ -115,13 +118,23 @@
         )
     }
 
+    /**
+     * Takes over the [NodeSettings.limits] of [next] and logs which other settings differ, since those need a restart.
+     * Calls go on meanwhile.
+     */
+    fun reload(next: NodeSettings) {
+        val needsRestart = next.copy(limits = settings.limits) != settings
+        limits = next.limits
+        EventLog.write("settings_reloaded", "limits" to next.limits, "needsRestart" to needsRestart)
+    }
+
     /**
      * Announces that the node leaves, refuses new calls as not run, waits for the calls in flight and closes everything.
      * Returns the number of calls that had not ended by the drain limit and were cut off.
      */
     fun stop(): Int {
         stopping = true
-        val stopBy = StopTimes.of(settings.limits, nowMillis())
+        val stopBy = StopTimes.of(limits, nowMillis())
         EventLog.write("node_stopping", "inFlight" to (proxy?.inFlight ?: 0))
         targetDuty?.close()
         directoryDuty?.close()
--- a/node/src/test/kotlin/dev/baobabhollow/node/AnnouncedTargetSpec.kt
+++ b/node/src/test/kotlin/dev/baobabhollow/node/AnnouncedTargetSpec.kt
@@ -12,7 +12,7 @@
 
 private fun beat(
     instance: String = "i-1",
-    born: Long? = 100,
+    born: Long = 100,
     sequence: Long = 1,
     isDraining: Boolean = false,
     endpoint: Endpoint = ENDPOINT,
