--- a/node/src/main/kotlin/dev/baobabhollow/node/AnnouncedTarget.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/AnnouncedTarget.kt
@@ -58,7 +58,9 @@
     private var heardAtMillis = 0L
     private var isDown = false
     private var latestBornMillis = Long.MIN_VALUE
-    private val ended = LinkedHashSet<Pair<String, Long>>()
+
+    /** Latest start of each target that has left. A node that had not heard of it takes the time of the leave for it. */
+    private val endedBornMillis = LinkedHashMap<String, Long>()
 
     /** The target as other nodes shall see it, or null if there is none. */
     val record: TargetRecord?
@@ -74,7 +76,7 @@
     ): Announced =
         when (message) {
             is TargetHeartbeat -> beat(message, nowMillis)
-            is TargetLeave -> leave(message)
+            is TargetLeave -> leave(message, nowMillis)
         }
 
     /** Tells whether the target has become silent since the last call. */
@@ -88,7 +90,7 @@
         next: TargetHeartbeat,
         nowMillis: Long,
     ): Announced {
-        val isEnded = (next.instance to next.bornMillis) in ended
+        val isEnded = endedBornMillis[next.instance]?.let { next.bornMillis <= it } ?: false
         if (next.endpoint != endpoint || isEnded || isStale(next)) return Announced.IGNORED
         val before = record
         last = next
@@ -105,13 +107,16 @@
         return next.instance == known.instance && next.sequence <= known.sequence
     }
 
-    private fun leave(message: TargetLeave): Announced {
-        val known = last
-        if (known == null || known.instance != message.instance) return Announced.IGNORED
-        if (message.bornMillis != null && message.bornMillis < known.bornMillis) return Announced.IGNORED
-        ended += known.instance to known.bornMillis
-        if (ended.size > MAX_ENDED) ended.remove(ended.first())
-        last = null
+    private fun leave(
+        message: TargetLeave,
+        nowMillis: Long,
+    ): Announced {
+        val known = last?.takeIf { it.instance == message.instance }
+        if (message.bornMillis != null && known != null && message.bornMillis < known.bornMillis) return Announced.IGNORED
+        if (known == null && message.instance in endedBornMillis) return Announced.CONFIRMED
+        endedBornMillis[message.instance] = message.bornMillis ?: known?.bornMillis ?: nowMillis
+        if (endedBornMillis.size > MAX_ENDED) endedBornMillis.remove(endedBornMillis.keys.first())
+        if (known != null) last = null
         return Announced.CHANGED
     }
 
--- a/node/src/main/kotlin/dev/baobabhollow/node/SettingsValidation.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/SettingsValidation.kt
@@ -13,8 +13,30 @@
         settings.target?.let { addAll(targetErrors(it)) }
         addAll(policyErrors(settings))
         addAll(limitErrors(settings.limits))
+        addAll(announcedErrors(settings))
+        settings.retries?.let { addAll(retryErrors(it)) }
     }
 
+private fun announcedErrors(settings: NodeSettings): List<ConfigError> =
+    buildList {
+        val announced = settings.announcedTarget
+        if (announced == null && settings.platform == PlatformKind.CONSORTIUM) {
+            add(ConfigError("$.announcedTarget", "nothing", "the target beside a node of this platform"))
+        }
+        if (announced == null) return@buildList
+        addAll(identifier("$.announcedTarget.service", announced.service.value))
+        if (settings.target != null) add(ConfigError("$.target", "a target", "none beside announcedTarget"))
+        if (announced.heartbeatSeconds <= 0) {
+            val found = "${announced.heartbeatSeconds}"
+            add(ConfigError("$.announcedTarget.heartbeatSeconds", found, "more than 0"))
+        }
+    }
+
+private fun retryErrors(retries: RetrySettings): List<ConfigError> =
+    listOf("share" to retries.share, "slack" to retries.slack)
+        .filter { (_, value) -> value < 0 }
+        .map { (name, value) -> ConfigError("$.retries.$name", "$value", "0 or more") }
+
 private fun identifier(
     path: String,
     value: String,
--- a/node/src/test/kotlin/dev/baobabhollow/node/SettingsSpec.kt
+++ b/node/src/test/kotlin/dev/baobabhollow/node/SettingsSpec.kt
@@ -17,6 +17,17 @@
      "target":{"endpoint":"127.0.0.1:7200","service":"vitrina","release":"7","slots":12,"connections":100}}
     """.trimIndent()
 
+private val RENDERED =
+    """
+    {"node":"sidecar-antigua-a-1","failureDomain":"antigua-a","platform":"consortium","platformLog":"10.200.1.7:8309",
+     "addresses":{"callers":"10.1.0.8:8304","peerCalls":"10.1.0.8:8300","control":"10.1.0.8:7620",
+                  "operator":"10.1.0.8:7635"},
+     "readiness":"10.1.0.8:8302",
+     "announcedTarget":{"endpoint":"10.1.0.8:8301","service":"huvo11a","announcements":"10.1.0.8:8306",
+                        "heartbeatSeconds":1.5},
+     "retries":{"share":0.2,"slack":56},"limits":{"stopWithinSeconds":6}}
+    """.trimIndent()
+
 class SettingsSpec :
     DescribeSpec({
         describe("node settings") {
@@ -47,6 +58,21 @@
                     )
             }
 
+            it("accepts what the deploy file's template renders") {
+                val settings = parseSettings(RENDERED).unwrap()
+                settings.platform shouldBe PlatformKind.CONSORTIUM
+                settings.announcedTarget?.heartbeatSeconds shouldBe 1.5
+                settings.limits.stopWithinSeconds shouldBe 6.0
+            }
+
+            it("requires the target that announces itself, and no other, on the consortium's platform") {
+                val without = RENDERED.replace(Regex("\"announcedTarget\":\\{[^}]*},"), "")
+                parseSettings(without).unwrapError().map { it.path } shouldBe listOf("$.announcedTarget")
+                val negative = RENDERED.replace("\"share\":0.2", "\"share\":-1").replace("1.5", "0")
+                parseSettings(negative).unwrapError().map { it.path } shouldContainExactlyInAnyOrder
+                    listOf("$.announcedTarget.heartbeatSeconds", "$.retries.share")
+            }
+
             it("names the nearest known key for a misspelt one") {
                 val errors = parseSettings(GOOD.replace("\"seeds\"", "\"seds\"")).unwrapError()
                 errors shouldBe listOf(ConfigError("$.seds", "unknown key \"seds\"", "\"seeds\" or no such key"))
