--- a/cli/src/main/kotlin/dev/baobabhollow/cli/NodeCommand.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/NodeCommand.kt
@@ -10,15 +10,15 @@
 import dev.baobabhollow.node.PlatformKind
 import dev.baobabhollow.node.parseSettings
 import dev.baobabhollow.platform.ConsortiumPlatform
+import kotlinx.cli.ArgType
+import kotlinx.cli.required
+import org.apache.logging.log4j.Level
+import sun.misc.Signal
 import java.io.File
 import java.io.IOException
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
-import kotlinx.cli.ArgType
-import kotlinx.cli.required
-import org.apache.logging.log4j.Level
-import sun.misc.Signal
 
 /** Runs a node until it gets SIGTERM or SIGINT. */
 internal class NodeCommand(
--- a/node/src/main/kotlin/dev/baobabhollow/node/AnnouncedTarget.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/AnnouncedTarget.kt
@@ -112,7 +112,11 @@
         nowMillis: Long,
     ): Announced {
         val known = last?.takeIf { it.instance == message.instance }
-        if (message.bornMillis != null && known != null && message.bornMillis < known.bornMillis) return Announced.IGNORED
+        if (message.bornMillis != null && known != null &&
+            message.bornMillis < known.bornMillis
+        ) {
+            return Announced.IGNORED
+        }
         if (known == null && message.instance in endedBornMillis) return Announced.CONFIRMED
         endedBornMillis[message.instance] = message.bornMillis ?: known?.bornMillis ?: nowMillis
         if (endedBornMillis.size > MAX_ENDED) endedBornMillis.remove(endedBornMillis.keys.first())
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallFailure.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallFailure.kt
@@ -32,6 +32,7 @@
     NO_TARGET("no-target"),
     DRAINING("draining", CallHealth.NO_CONNECTION),
     OVERLOADED("overloaded"),
+    NODE_BUSY("node-busy"),
     WAIT_TOO_LONG("wait-too-long"),
     DEADLINE_PASSED("deadline-passed"),
     WRONG_TARGET("wrong-target"),
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
@@ -27,6 +27,7 @@
         val host = head.headers().get(HttpHeaderNames.HOST)?.substringBefore(':')
         if (node.isDraining) return refused(front, CallFailure.notRun(FailureReason.DRAINING))
         if (!table.isReady) return refused(front, CallFailure.notRun(FailureReason.NOT_READY))
+        node.lagRefusal(front.loop)?.let { return refused(front, it) }
         val route =
             table.match(path, host)
                 ?: return refused(front, CallFailure.notRun(FailureReason.NO_ROUTE, HttpResponseStatus.NOT_FOUND))
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
@@ -68,7 +68,14 @@
 
     private fun newPools(loop: EventLoop): LoopPools {
         val target = targetEndpoint?.let { ConnectionPool(loop, it, settings, targetLimit, nowMillis) }
-        return LoopPools(OwnerPools(loop, settings, nowMillis), target)
+        return LoopPools(OwnerPools(loop, settings, nowMillis), target, LoopLag(nowMillis))
+    }
+
+    /** Returns the refusal of a new call while [loop] is too far behind, or null. Called on that loop. */
+    fun lagRefusal(loop: EventLoop): CallFailure? {
+        val limit = settings.maxLoopLagMillis ?: return null
+        val lag = pools(loop).lag.millis
+        return if (lag > limit) CallFailure.notRun(FailureReason.NODE_BUSY).copy(roomInMillis = lag) else null
     }
 
     fun update(self: NodeRecord) {
@@ -172,6 +179,7 @@
 internal class LoopPools(
     val owners: OwnerPools,
     val target: ConnectionPool?,
+    val lag: LoopLag,
 ) {
     fun sweep() {
         owners.sweep()
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/OwnerExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/OwnerExchange.kt
@@ -48,6 +48,7 @@
         val malformed = requestError(head)
         if (malformed != null) return refused(front) { front.refuseMalformed(malformed) }
         if (node.isDraining) return refused(front, CallFailure.notRun(FailureReason.DRAINING))
+        node.lagRefusal(front.loop)?.let { return refused(front, it) }
         val headers = head.headers()
         val target = node.self.target
         val named = headers.get(MeshHeaders.ROUTE)?.let { node.tables().routes[RouteId(it)] }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
@@ -57,6 +57,7 @@
     init {
         group.forEach { loop ->
             val pools = node.pools(loop as EventLoop)
+            pools.lag.start(loop)
             loop.scheduleWithFixedDelay({ pools.sweep() }, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS)
         }
         LOG.info("event=proxy_started callers_port={} peer_call_port={}", callersPort, peerCallPort)
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxySettings.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxySettings.kt
@@ -44,6 +44,8 @@
     val callerService: ServiceId? = null,
     /** True if owners get the time left beside the deadline, because the clocks of the nodes differ. */
     val sendsTimeLeft: Boolean = false,
+    /** Lag of the event loop above which calls are refused as not run, or null for no such limit. */
+    val maxLoopLagMillis: Long? = null,
     /** True if idempotent calls are also sent again when a target answers with a server error. */
     val repeatsServerErrors: Boolean = false,
     /** True if a refusal by an owner node, which no target has seen, takes a retry from the budget. */
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/ForeignProtocolSpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/ForeignProtocolSpec.kt
@@ -123,6 +123,33 @@
             }
         }
 
+        describe("a node that is behind with its work") {
+            // Guards against requests that reach a target long after their callers have left.
+            it("refuses calls as not run") {
+                val runs = AtomicInteger()
+                val target = ScriptedTarget.answering(runs) { answer("ok") }
+                // No lag is below this limit, so the node is always behind.
+                val limited = settings.copy(maxLoopLagMillis = -1)
+                TestMesh(listOf(target.port), settings = limited).use { mesh ->
+                    val answer = call(mesh.port, "/orders/1", "POST", "id: c1\r\n")
+                    answer?.status shouldBe 503
+                    answer?.reason shouldBe "node-busy"
+                    answer?.headers?.get("is-not-run") shouldBe "1"
+                }
+                runs.get() shouldBe 0
+                target.close()
+            }
+
+            it("counts the lag from the last time that its timer fired") {
+                var now = 1_000L
+                val lag = LoopLag { now }
+                now += 50
+                lag.millis shouldBe 0
+                now += 300
+                lag.millis shouldBe 300
+            }
+        }
+
         describe("an answer without a stated length") {
             it("is whole when its connection ends") {
                 val target =
