--- a/cli/src/test/kotlin/dev/baobabhollow/cli/NodeProcessesSpec.kt
+++ b/cli/src/test/kotlin/dev/baobabhollow/cli/NodeProcessesSpec.kt
@@ -76,6 +76,13 @@
                             .shouldBeEmpty()
                     }
 
+                    // Guards against a signal that announces new settings and ends the node.
+                    hangUp(first)
+                    awaitUntil("the node has read its settings again") {
+                        directory.walk().any { it.isFile && "settings_reloaded" in it.readText() }
+                    }
+                    first.child.process.isAlive shouldBe true
+
                     third.child.process.destroyForcibly()
                     awaitUntil("the others declare the killed node dead") {
                         listOf(first, second).all { statusOf(operators, it, third) == NodeStatus.DEAD }
@@ -108,6 +115,11 @@
         }
     })
 
+private fun hangUp(node: DemoNode) {
+    val pid = node.child.process.pid()
+    ProcessBuilder("kill", "-HUP", pid.toString()).inheritIO().start().waitFor() shouldBe 0
+}
+
 private fun statusOf(
     operators: OperatorClient,
     asked: DemoNode,
