--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallProtocol.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallProtocol.kt
@@ -19,11 +19,15 @@
     val callerService: ServiceId?,
 )
 
-/** Says what the head of an answer tells about the call. [callId] is null if the target does not echo one. */
+/**
+ * Says what the head of an answer tells about the call. [callId] is null if the target does not echo one. An answer that
+ * is not [isGenuine] lacks what every answer of a target bears, so its bytes are not what the target meant to send.
+ */
 data class AnswerFacts(
     val callId: String?,
     val isNotRun: Boolean = false,
     val isOtherInstance: Boolean = false,
+    val isGenuine: Boolean = true,
 )
 
 /** Translates between the headers of callers and targets and what nodes act on. Decides nothing. Safe for several threads. */
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamCall.kt
@@ -116,6 +116,9 @@
         return echoed == callId
     }
 
+    /** Tells whether [head] bears what every answer of a target bears. */
+    fun isGenuine(head: HttpResponse): Boolean = protocol.readAnswer(head).isGenuine
+
     /** True if an answer to another call may be dropped while the one to this call is awaited. */
     val skipsForeignAnswers: Boolean get() = protocol.skipsForeignAnswers
 
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/ForeignProtocolSpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/ForeignProtocolSpec.kt
@@ -32,7 +32,11 @@
     }
 
     override fun readAnswer(head: HttpResponse) =
-        AnswerFacts(head.headers().get("id"), head.headers().contains("not-run"))
+        AnswerFacts(
+            callId = head.headers().get("id"),
+            isNotRun = head.headers().contains("not-run"),
+            isGenuine = !head.headers().contains("spoilt"),
+        )
 
     override fun writeFailure(
         head: HttpResponse,
@@ -150,6 +154,24 @@
             }
         }
 
+        describe("an answer that is not what its target meant to send") {
+            // Guards against spoilt bytes that reach the caller as a success.
+            it("is an unknown outcome, and is asked for once more where that is allowed") {
+                val spoilt = ScriptedTarget.answering { answer("ok", headers = "spoilt: 1\r\n") }
+                val working = ScriptedTarget.answering { answer("ok") }
+                TestMesh(listOf(spoilt.port), settings = settings).use { mesh ->
+                    val answer = call(mesh.port, "/orders/1", "POST")
+                    answer?.status shouldBe 502
+                    answer?.outcome shouldBe "unknown"
+                }
+                TestMesh(listOf(spoilt.port, working.port), settings = settings).use { mesh ->
+                    repeat(10) { call(mesh.port, "/stock/$it")?.headers?.containsKey("spoilt") shouldBe false }
+                }
+                spoilt.close()
+                working.close()
+            }
+        }
+
         describe("an answer without a stated length") {
             it("is whole when its connection ends") {
                 val target =
