--- a/calls/src/main/kotlin/dev/baobabhollow/calls/CallSettings.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/CallSettings.kt
@@ -16,6 +16,8 @@
     val placement: Placement = Placement.LOCAL_FIRST,
     /** Latency that a target of another failure domain costs beside its own, for the bytes between domains. */
     val remoteMicros: Long = 30_000,
+    /** Least latency that is assumed, since an old or unknown one would make the load of a target look unimportant. */
+    val assumedMicros: Long = 40_000,
     /** Time without any answer from a target with calls in flight after which it gets no further ones. */
     val silenceMillis: Long = 1_500,
 )
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/TargetPicker.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/TargetPicker.kt
@@ -119,7 +119,7 @@
     ): Double {
         val entry = stats.of(target, nowMillis)
         val load = entry.loadPermille(target.slots, nowMillis, settings) / FULL_PERMILLE
-        val latency = maxOf(entry.latencyMicros(nowMillis, settings), BASE_LATENCY_MICROS)
+        val latency = maxOf(entry.latencyMicros(nowMillis, settings), settings.assumedMicros.toDouble())
         return latency * (1 + load * load * load) / weight(entry, nowMillis)
     }
 
--- a/calls/src/test/kotlin/dev/baobabhollow/calls/ShortestWaitSpec.kt
+++ b/calls/src/test/kotlin/dev/baobabhollow/calls/ShortestWaitSpec.kt
@@ -56,6 +56,15 @@
             }
         }
 
+        describe("a service whose latencies nobody knows yet") {
+            // Guards against a start at which all entry nodes fill the target beside them before its first answer.
+            it("is called elsewhere when the target of the own domain is full") {
+                val bench = Bench()
+                repeat(12) { bench.picker.started(local, 1_000) }
+                bench.shareOf(local) shouldBeLessThan 100
+            }
+        }
+
         describe("a target that answers nothing") {
             // Guards against calls that vanish behind a partition until their deadline.
             it("gets no calls once it has been silent, until it answers") {
