--- a/calls/src/main/kotlin/dev/baobabhollow/calls/TargetStats.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/TargetStats.kt
@@ -48,7 +48,8 @@
         nowMillis: Long,
         settings: PickerSettings,
     ) {
-        val old = retained(nowMillis, settings) * OLD_WEIGHT
+        // The first observation counts in full; averaged with nothing, it would take ten calls to show a slow target.
+        val old = if (latencyMicros == 0.0) 0.0 else retained(nowMillis, settings) * OLD_WEIGHT
         latencyMicros = (latencyMicros * old + micros * NEW_WEIGHT) / (old + NEW_WEIGHT)
         if (reportedLoadPermille != null) loadPermille = reportedLoadPermille.toDouble()
         observedMillis = nowMillis
