Tell entry nodes the load of a target with its refusals

Cause: only answers told the load, so an entry node offered call after call to a full target and was refused each time.

--- a/calls/src/main/kotlin/dev/baobabhollow/calls/TargetPicker.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/TargetPicker.kt
@@ -59,7 +59,11 @@
         val entry = stats.of(target, nowMillis)
         entry.inFlight.updateAndGet { (it - 1).coerceAtLeast(0) }
         if (micros != null || loadPermille != null) entry.answered(nowMillis)
-        if (micros != null) entry.observe(micros, loadPermille, nowMillis, settings)
+        if (micros != null) {
+            entry.observe(micros, loadPermille, nowMillis, settings)
+        } else if (loadPermille != null) {
+            entry.observeLoad(loadPermille, nowMillis, settings)
+        }
     }
 
     /** Forgets all targets but those beside [nodes]. */
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/TargetStats.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/TargetStats.kt
@@ -55,6 +55,17 @@
         observedMillis = nowMillis
     }
 
+    /** Takes the load that a refusal tells, which says nothing new about the latency. */
+    fun observeLoad(
+        reportedLoadPermille: Int,
+        nowMillis: Long,
+        settings: PickerSettings,
+    ) {
+        latencyMicros = latencyMicros(nowMillis, settings)
+        loadPermille = reportedLoadPermille.toDouble()
+        observedMillis = nowMillis
+    }
+
     fun latencyMicros(
         nowMillis: Long,
         settings: PickerSettings,
--- a/calls/src/test/kotlin/dev/baobabhollow/calls/ShortestWaitSpec.kt
+++ b/calls/src/test/kotlin/dev/baobabhollow/calls/ShortestWaitSpec.kt
@@ -56,6 +56,18 @@
             }
         }
 
+        describe("a target that has refused a call") {
+            // Guards against an entry node that offers call after call to a full target, because only answers told its load.
+            it("is passed over by the load that the refusal tells, until that is old") {
+                val bench = Bench()
+                targets.all.forEach { bench.finish(it, 60_000) }
+                bench.picker.started(local, 1_000)
+                bench.picker.finished(local, null, 3_000, 1_000)
+                bench.shareOf(local) shouldBeLessThan 50
+                bench.shareOf(local, 1_000 + settings.observationHalfLifeMillis * 4) shouldBeGreaterThan 500
+            }
+        }
+
         describe("a service whose latencies nobody knows yet") {
             // Guards against a start at which all entry nodes fill the target beside them before its first answer.
             it("is called elsewhere when the target of the own domain is full") {
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/Answers.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/Answers.kt
@@ -28,6 +28,7 @@
         .set(HttpHeaderNames.CONTENT_LENGTH, bodyBytes)
         .set(MeshHeaders.OUTCOME, failure.outcome.text)
         .set(MeshHeaders.REASON, failure.reason.text)
+    failure.loadPermille?.let { head.headers().set(MeshHeaders.LOAD, it) }
     failure.roomInMillis?.let { head.headers().set(MeshHeaders.ROOM_IN, it) }
     protocol.writeFailure(head, callId, failure.outcome == CallOutcome.NOT_RUN, failure.roomInMillis)
     return head
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallFailure.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallFailure.kt
@@ -63,6 +63,7 @@
     val outcome: CallOutcome,
     val reason: FailureReason,
     val roomInMillis: Long? = null,
+    val loadPermille: Int? = null,
 ) {
     /** Returns this failure for a call of which another attempt may have run. */
     fun mayHaveRun(): CallFailure {
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
@@ -151,13 +151,15 @@
 
     private fun onAttemptFailure(failure: CallFailure) {
         if (failure.outcome == CallOutcome.UNKNOWN) hasEarlierRun = true
+        failure.loadPermille?.let { loadPermille = it }
         val isSeen = failure.outcome == CallOutcome.UNKNOWN || failure.reason == FailureReason.TARGET_REFUSED
         if (isSeen) arrivals++
         val next = if (isRepeatable(failure)) nextTarget(isSeen || node.settings.budgetsRefusals) else null
         if (next != null) return retry(next, failure.reason.health)
         attempt?.abandon()
         attempt = null
-        fail(failure)
+        // The load is for entry nodes alone.
+        fail(failure.copy(loadPermille = null))
     }
 
     private fun isRepeatable(failure: CallFailure): Boolean {
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
@@ -99,7 +99,10 @@
     private fun onDecided(refusal: Refusal?) {
         if (isEnded) return
         if (refusal != null) {
-            return finish(CallFailure.of(refusal).copy(roomInMillis = node.admission.expectedRoomMillis()))
+            val roomIn = node.admission.expectedRoomMillis()
+            return finish(
+                CallFailure.of(refusal).copy(roomInMillis = roomIn, loadPermille = node.admission.loadPermille),
+            )
         }
         isSlotHeld = true
         startLoadPermille = node.admission.loadPermille
