--- a/node/src/main/kotlin/dev/baobabhollow/node/NodeSettings.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/NodeSettings.kt
@@ -12,7 +12,8 @@
  * Holds the settings of one node as its settings file states them.
  *
  * [seeds] are control endpoints of other nodes; [platformLog] is the endpoint of the platform log. Without a [target] the
- * node only passes calls on, unless [announcedTarget] says where its target announces itself. [members] replaces values of the members' move policies. [faultInjection] enables
+ * node only passes calls on, unless [announcedTarget] says where its target announces itself. [platform] selects the
+ * protocols of the log, of callers and of targets; [readiness] is where the platform asks whether the node is ready. [members] replaces values of the members' move policies. [faultInjection] enables
  * `POST /faults` at the operator port.
  */
 @Serializable
@@ -56,14 +57,10 @@
     val heartbeatSeconds: Double = 1.5,
 )
 
-/**
- * Bounds what all nodes together may send to targets beyond the first attempts: [share] of the calls to a service and
- * [slack] attempts in each window.
- */
+/** Bounds what all nodes together may send to targets beyond the first attempts: [share] of the calls to a service. */
 @Serializable
 data class RetrySettings(
     val share: Double = 0.2,
-    val slack: Double = 56.0,
 )
 
 /**
--- a/node/src/main/kotlin/dev/baobabhollow/node/PlatformTuning.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/PlatformTuning.kt
@@ -15,7 +15,7 @@
 /** Part of the shared retry budget that nodes use; the rest covers attempts that nested calls repeat. */
 private const val USED_RETRY_SHARE = 0.5
 
-/** Retries that one node may save up, for a slack of a hundred retries among dozens of nodes. */
+/** Retries that one node may save up. Platforms allow some retries at once beyond the share: about two for each node. */
 private const val SAVED_RETRIES = 2
 
 internal fun proxySettings(
--- a/node/src/main/kotlin/dev/baobabhollow/node/SettingsValidation.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/SettingsValidation.kt
@@ -33,9 +33,7 @@
     }
 
 private fun retryErrors(retries: RetrySettings): List<ConfigError> =
-    listOf("share" to retries.share, "slack" to retries.slack)
-        .filter { (_, value) -> value < 0 }
-        .map { (name, value) -> ConfigError("$.retries.$name", "$value", "0 or more") }
+    if (retries.share >= 0) emptyList() else listOf(ConfigError("$.retries.share", "${retries.share}", "0 or more"))
 
 private fun identifier(
     path: String,
