--- a/node/src/main/kotlin/dev/baobabhollow/node/PlatformTuning.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/PlatformTuning.kt
@@ -75,7 +75,8 @@
         pullJitterMillis = 60,
         announcesRecords = true,
         requestTimeoutMillis = 1_500,
-        peerSilenceMillis = 3_000,
+        // The readers of a domain may be gone while membership still takes them for alive.
+        peerSilenceMillis = 1_000,
         startGraceMillis = 0,
         longPollMillis = 15_000,
         appendTimeoutMillis = 2_000,
--- a/node/src/test/kotlin/dev/baobabhollow/node/SettingsSpec.kt
+++ b/node/src/test/kotlin/dev/baobabhollow/node/SettingsSpec.kt
@@ -17,7 +17,7 @@
      "target":{"endpoint":"127.0.0.1:7200","service":"vitrina","release":"7","slots":12,"connections":100}}
     """.trimIndent()
 
-private val RENDERED =
+internal val RENDERED_SETTINGS =
     """
     {"node":"sidecar-antigua-a-1","failureDomain":"antigua-a","platform":"consortium","platformLog":"10.200.1.7:8309",
      "addresses":{"callers":"10.1.0.8:8304","peerCalls":"10.1.0.8:8300","control":"10.1.0.8:7620",
@@ -59,16 +59,16 @@
             }
 
             it("accepts what the deploy file's template renders") {
-                val settings = parseSettings(RENDERED).unwrap()
+                val settings = parseSettings(RENDERED_SETTINGS).unwrap()
                 settings.platform shouldBe PlatformKind.CONSORTIUM
                 settings.announcedTarget?.heartbeatSeconds shouldBe 1.5
                 settings.limits.stopWithinSeconds shouldBe 6.0
             }
 
             it("requires the target that announces itself, and no other, on the consortium's platform") {
-                val without = RENDERED.replace(Regex("\"announcedTarget\":\\{[^}]*},"), "")
+                val without = RENDERED_SETTINGS.replace(Regex("\"announcedTarget\":\\{[^}]*},"), "")
                 parseSettings(without).unwrapError().map { it.path } shouldBe listOf("$.announcedTarget")
-                val negative = RENDERED.replace("\"share\":0.2", "\"share\":-1").replace("1.5", "0")
+                val negative = RENDERED_SETTINGS.replace("\"share\":0.2", "\"share\":-1").replace("1.5", "0")
                 parseSettings(negative).unwrapError().map { it.path } shouldContainExactlyInAnyOrder
                     listOf("$.announcedTarget.heartbeatSeconds", "$.retries.share")
             }
