--- a/calls/src/main/kotlin/dev/baobabhollow/calls/AnnouncedReleases.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/AnnouncedReleases.kt
@@ -6,6 +6,7 @@
 import dev.baobabhollow.model.ReleaseId
 import dev.baobabhollow.model.ServiceConfig
 import dev.baobabhollow.model.ServiceId
+import dev.baobabhollow.model.UNKNOWN_RELEASE
 
 /**
  * Routes a service whose targets say which releases there are. [move] is its newest ordered move; while [isHeld], its new
@@ -22,10 +23,12 @@
         selfDomain: FailureDomainId?,
     ): RoutedService {
         val to = move?.plan?.to
-        val (new, old) = targets.partition { it.release == to }
+        // A target of unknown release may be of either one, so a service with an ordered move cannot use it.
+        val (unnamed, named) = targets.partition { it.release == UNKNOWN_RELEASE }
+        val (new, old) = named.partition { it.release == to }
         val current =
             when {
-                move == null -> mostAnnounced(targets)
+                move == null -> mostAnnounced(named) + unnamed
                 move.phase == MovePhase.DONE -> new.ifEmpty { old }
                 else -> old
             }
--- a/calls/src/test/kotlin/dev/baobabhollow/calls/AnnouncedReleasesSpec.kt
+++ b/calls/src/test/kotlin/dev/baobabhollow/calls/AnnouncedReleasesSpec.kt
@@ -15,7 +15,9 @@
 import dev.baobabhollow.model.ServiceConfig
 import dev.baobabhollow.model.ServiceId
 import dev.baobabhollow.model.SplitPart
+import dev.baobabhollow.model.UNKNOWN_RELEASE
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldNotContain
 import io.kotest.matchers.ints.shouldBeInRange
 import io.kotest.matchers.shouldBe
 
@@ -57,6 +59,15 @@
                 compile(nodes + node("n4", release = NEW)).newShare() shouldBe 0
             }
 
+            // Guards against calls to a target that may be of the release under trial.
+            it("uses a target of unknown release only while no move is ordered") {
+                val found = nodes + node("n4", release = UNKNOWN_RELEASE)
+                fun RoutingTable.used() = services.getValue(VITRINA).targets.map { it.node.value }.toSet()
+                compile(found).used() shouldBe setOf("n1", "n2", "n4")
+                compile(listOf(node("n4", release = UNKNOWN_RELEASE))).used() shouldBe setOf("n4")
+                MovePhase.entries.forEach { compile(found, move(it, 70)).used() shouldNotContain "n4" }
+            }
+
             it("follows the share of an ordered move, unless it is held") {
                 compile(nodes, move(MovePhase.RAMPING, 70)).newShare() shouldBe 70
                 compile(nodes, move(MovePhase.RAMPING, 70), isHeld = true).newShare() shouldBe 0
--- a/model/src/main/kotlin/dev/baobabhollow/model/MeshConfig.kt
+++ b/model/src/main/kotlin/dev/baobabhollow/model/MeshConfig.kt
@@ -52,6 +52,9 @@
 /** Names the release of a service whose targets, and not its operator, say which releases there are. */
 val ANNOUNCED_RELEASE = ReleaseId("announced")
 
+/** Stands for the release of a target that has not announced it yet. */
+val UNKNOWN_RELEASE = ReleaseId("")
+
 /**
  * Describes a service.
  *
@@ -64,6 +67,8 @@
     val releases: Set<ReleaseId>,
     val initialRelease: ReleaseId,
     val objective: ServiceObjective = ServiceObjective(),
+    /** Path at which targets say whether they are healthy, if nodes may learn it from the configuration. */
+    val healthPath: String? = null,
 )
 
 /**
--- a/node/src/main/kotlin/dev/baobabhollow/node/AnnouncedTarget.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/AnnouncedTarget.kt
@@ -5,6 +5,7 @@
 import dev.baobabhollow.model.ServiceId
 import dev.baobabhollow.model.TargetRecord
 import dev.baobabhollow.model.TargetStatus
+import dev.baobabhollow.model.UNKNOWN_RELEASE
 
 /** Is what a target tells the node beside it. */
 sealed interface TargetMessage {
@@ -33,6 +34,12 @@
     override val bornMillis: Long?,
 ) : TargetMessage
 
+/** Is what a target that has been asked says of itself; it does not tell its release. */
+data class FoundTarget(
+    val instance: String,
+    val slots: Int,
+)
+
 /** Says what became of a message of a target. */
 enum class Announced {
     /** It changed what the node knows. */
@@ -52,9 +59,11 @@
  */
 class AnnouncedTarget(
     private val endpoint: Endpoint,
+    private val service: ServiceId,
     private val silenceMillis: Long,
 ) {
     private var last: TargetHeartbeat? = null
+    private var found: FoundTarget? = null
     private var heardAtMillis = 0L
     private var isDown = false
     private var latestBornMillis = Long.MIN_VALUE
@@ -64,10 +73,25 @@
 
     /** The target as other nodes shall see it, or null if there is none. */
     val record: TargetRecord?
-        get() =
-            last?.let {
-                TargetRecord(it.service, it.release, it.slots, it.slots + SPARE_CONNECTIONS, statusOf(it), it.instance)
+        get() {
+            val known = last
+            val asked = found
+            return when {
+                known != null -> recordOf(known.service, known.release, known.slots, known.instance)
+                asked != null -> recordOf(service, UNKNOWN_RELEASE, asked.slots, asked.instance)
+                else -> null
             }
+        }
+
+    /** False until the target has said something, so that the node may have to ask. */
+    val isHeard: Boolean get() = last != null || endedBornMillis.isNotEmpty()
+
+    private fun recordOf(
+        service: ServiceId,
+        release: ReleaseId,
+        slots: Int,
+        instance: String,
+    ) = TargetRecord(service, release, slots, slots + SPARE_CONNECTIONS, status, instance)
 
     /** Takes in [message] at [nowMillis]. */
     fun take(
@@ -79,9 +103,20 @@
             is TargetLeave -> leave(message, nowMillis)
         }
 
+    /** Takes in what the target has answered. What it announces by itself goes before that. */
+    fun find(
+        target: FoundTarget,
+        nowMillis: Long,
+    ): Announced {
+        if (isHeard) return Announced.IGNORED
+        found = target
+        heardAtMillis = nowMillis
+        return Announced.CHANGED
+    }
+
     /** Tells whether the target has become silent since the last call. */
     fun checkSilence(nowMillis: Long): Boolean {
-        if (last == null || isDown || nowMillis - heardAtMillis <= silenceMillis) return false
+        if (record == null || isDown || nowMillis - heardAtMillis <= silenceMillis) return false
         isDown = true
         return true
     }
@@ -94,6 +129,7 @@
         if (next.endpoint != endpoint || isEnded || isStale(next)) return Announced.IGNORED
         val before = record
         last = next
+        found = null
         latestBornMillis = maxOf(latestBornMillis, next.bornMillis)
         heardAtMillis = nowMillis
         isDown = false
@@ -121,15 +157,17 @@
         endedBornMillis[message.instance] = message.bornMillis ?: known?.bornMillis ?: nowMillis
         if (endedBornMillis.size > MAX_ENDED) endedBornMillis.remove(endedBornMillis.keys.first())
         if (known != null) last = null
+        if (found?.instance == message.instance) found = null
         return Announced.CHANGED
     }
 
-    private fun statusOf(target: TargetHeartbeat): TargetStatus =
-        when {
-            target.isDraining -> TargetStatus.DRAINING
-            isDown -> TargetStatus.DOWN
-            else -> TargetStatus.SERVING
-        }
+    private val status: TargetStatus
+        get() =
+            when {
+                last?.isDraining == true -> TargetStatus.DRAINING
+                isDown -> TargetStatus.DOWN
+                else -> TargetStatus.SERVING
+            }
 
     private companion object {
         /** Connections beside those in use, for ones that are being closed. */
--- a/node/src/main/kotlin/dev/baobabhollow/node/AnnouncementDuty.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/AnnouncementDuty.kt
@@ -12,7 +12,15 @@
     private val onChange: (TargetRecord?) -> Unit,
 ) {
     private val target =
-        AnnouncedTarget(settings.endpoint, (settings.heartbeatSeconds * MISSED_HEARTBEATS * MILLIS_PER_SECOND).toLong())
+        AnnouncedTarget(
+            settings.endpoint,
+            settings.service,
+            (settings.heartbeatSeconds * MISSED_HEARTBEATS * MILLIS_PER_SECOND).toLong(),
+        )
+
+    /** False until the target has said something by itself. */
+    @get:Synchronized
+    val isHeard: Boolean get() = target.isHeard
 
     /** Answers a message of a target. */
     fun handle(request: OperatorRequest): OperatorResponse =
@@ -24,6 +32,14 @@
             },
         )
 
+    /** Takes in what the target has answered when it was asked. */
+    @Synchronized
+    fun find(found: FoundTarget) {
+        if (target.find(found, nowMillis()) != Announced.CHANGED) return
+        onChange(target.record)
+        EventLog.write("target_found", "target" to target.record)
+    }
+
     /** Takes the target out when it has been silent for too long. */
     @Synchronized
     fun checkSilence() {
--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -65,6 +65,10 @@
             operatorRoutes(registry)::handle,
         )
     private val announcements = settings.announcedTarget?.let { AnnouncementDuty(it, adapter, nowMillis, ::takeTarget) }
+    private val targetSearch =
+        announcements?.let {
+            TargetSearch(checkNotNull(settings.announcedTarget).endpoint, adapter, it, nowMillis)
+        }
     private val platformServers = platformServers()
     private val directoryDuty =
         adapter.directory?.let {
@@ -241,6 +245,12 @@
         // An announced target is known here before the view has it, and the view must not bring back the one before.
         if (settings.announcedTarget == null) view.nodes[view.self]?.let { proxy?.update(it) }
         changeLog.note(state, view, held)
+        searchTarget(state)
+    }
+
+    private fun searchTarget(state: ConfigurationState) {
+        val service = state.mesh.services[settings.announcedTarget?.service] ?: return
+        service.healthPath?.let { targetSearch?.start(it) }
     }
 
     /** Reads the state inside the lock, so that the table never goes back to an earlier one. */
--- a/node/src/main/kotlin/dev/baobabhollow/node/PlatformAdapter.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/PlatformAdapter.kt
@@ -5,6 +5,7 @@
 import dev.baobabhollow.model.LogError
 import dev.baobabhollow.model.NodeId
 import dev.baobabhollow.model.PlatformLog
+import dev.baobabhollow.platformlog.LogAnswer
 import dev.baobabhollow.proxy.CallProtocol
 
 /**
@@ -26,6 +27,9 @@
 
     /** Reads what a target says of itself. */
     fun readAnnouncement(request: OperatorRequest): Result<TargetMessage, String>
+
+    /** Reads what a target says of itself when asked for its health, or null if it takes no calls or does not say enough. */
+    fun readHealth(answer: LogAnswer): FoundTarget?
 }
 
 /** Keeps the addresses of nodes on the platform, for nodes that know no others. Calls block. */
--- /dev/null
+++ b/node/src/main/kotlin/dev/baobabhollow/node/TargetSearch.kt
@@ -0,0 +1,63 @@
+package dev.baobabhollow.node
+
+import com.github.michaelbull.result.fold
+import dev.baobabhollow.model.Endpoint
+import dev.baobabhollow.platformlog.LogClientLimits
+import dev.baobabhollow.platformlog.LogHttpClient
+import io.netty.handler.codec.http.HttpMethod
+import org.apache.logging.log4j.Level
+import java.util.concurrent.atomic.AtomicBoolean
+
+/**
+ * Asks the target beside a node that has just started who it is, because its next heartbeat may be more than a second away
+ * and no call can be served before.
+ */
+internal class TargetSearch(
+    private val endpoint: Endpoint,
+    private val adapter: PlatformAdapter,
+    private val duty: AnnouncementDuty,
+    private val nowMillis: () -> Long,
+) {
+    private val isStarted = AtomicBoolean()
+
+    /** Asks [healthPath] in the background. Repeated calls have no effect. */
+    fun start(healthPath: String) {
+        if (!isStarted.compareAndSet(false, true)) return
+        Thread({ run(healthPath) }, "target-search").apply { isDaemon = true }.start()
+    }
+
+    private fun run(healthPath: String) {
+        LogHttpClient(endpoint, LIMITS, nowMillis).use { http ->
+            repeat(ATTEMPTS) { attempt ->
+                if (attempt > 0) Thread.sleep(PAUSE_MILLIS)
+                if (duty.isHeard || ask(http, healthPath)) return
+            }
+        }
+    }
+
+    private fun ask(
+        http: LogHttpClient,
+        healthPath: String,
+    ): Boolean =
+        http.call(HttpMethod.GET, healthPath, ByteArray(0), CONTENT_TYPE, nowMillis() + ANSWER_MILLIS).fold(
+            success = { answer ->
+                val found = adapter.readHealth(answer)
+                if (found == null) EventLog.write("target_not_found", "status" to answer.status) else duty.find(found)
+                true
+            },
+            failure = { error ->
+                EventLog.write("target_not_found", "error" to error, level = Level.WARN)
+                false
+            },
+        )
+
+    private companion object {
+        const val CONTENT_TYPE = "application/octet-stream"
+
+        /** Two attempts and their pause end before the next heartbeat is due, after which asking is of no use. */
+        const val ATTEMPTS = 2
+        const val ANSWER_MILLIS = 500L
+        const val PAUSE_MILLIS = 200L
+        val LIMITS = LogClientLimits(connectTimeoutMillis = ANSWER_MILLIS, answerTimeoutMillis = ANSWER_MILLIS)
+    }
+}
--- a/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/LogConnection.kt
+++ b/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/LogConnection.kt
@@ -10,6 +10,7 @@
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
@@ -23,7 +24,11 @@
     val retryAfterMillis: Long?,
     val bytes: ByteArray,
     internal val keepsConnection: Boolean,
+    private val headers: HttpHeaders,
 ) {
+    /** Returns the value of the header [name], or null. */
+    fun header(name: String): String? = headers.get(name)
+
     /** The body as text. */
     val body: String get() = bytes.decodeToString()
 }
@@ -105,6 +110,7 @@
                 response.headers().get(RETRY_AFTER_HEADER)?.toLongOrNull(),
                 body.toByteArray(),
                 HttpUtil.isKeepAlive(response),
+                response.headers(),
             )
         complete(Ok(answer))
     }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/OwnerExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/OwnerExchange.kt
@@ -3,6 +3,7 @@
 import dev.baobabhollow.calls.Route
 import dev.baobabhollow.model.ReleaseId
 import dev.baobabhollow.model.RouteId
+import dev.baobabhollow.model.UNKNOWN_RELEASE
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 
@@ -53,9 +54,9 @@
         val target = node.self.target
         val named = headers.get(MeshHeaders.ROUTE)?.let { node.tables().routes[RouteId(it)] }
         val route = target?.let { named?.to(it.service) }
-        val release = headers.get(MeshHeaders.RELEASE)?.let(::ReleaseId)
         if (route == null || target == null || !node.hasTarget) return refused(front, wrongTarget())
-        if (release != target.release) return refused(front, wrongTarget())
+        val release = headers.get(MeshHeaders.RELEASE)?.let(::ReleaseId)
+        if (release != target.release && !isAnyRelease(release, route)) return refused(front, wrongTarget())
         val now = node.nowMillis()
         val clamp = now + route.config.timeoutMillis
         val left = headers.get(MeshHeaders.TIME_LEFT)?.toLongOrNull()
@@ -68,6 +69,12 @@
         return OwnerExchange(node, front, deadline, callId).also { it.start(head, route, target.release) }
     }
 
+    /** An entry node that chose the target before its release was known may have it all the same while nothing moves. */
+    private fun isAnyRelease(
+        release: ReleaseId?,
+        route: Route,
+    ) = release == UNKNOWN_RELEASE && route.service.next == null
+
     private fun wrongTarget() = CallFailure.notRun(FailureReason.WRONG_TARGET)
 
     private fun refused(
