--- a/calls/src/test/kotlin/dev/baobabhollow/calls/AnnouncedReleasesSpec.kt
+++ b/calls/src/test/kotlin/dev/baobabhollow/calls/AnnouncedReleasesSpec.kt
@@ -62,7 +62,13 @@
             // Guards against calls to a target that may be of the release under trial.
             it("uses a target of unknown release only while no move is ordered") {
                 val found = nodes + node("n4", release = UNKNOWN_RELEASE)
-                fun RoutingTable.used() = services.getValue(VITRINA).targets.map { it.node.value }.toSet()
+
+                fun RoutingTable.used() =
+                    services
+                        .getValue(VITRINA)
+                        .targets
+                        .map { it.node.value }
+                        .toSet()
                 compile(found).used() shouldBe setOf("n1", "n2", "n4")
                 compile(listOf(node("n4", release = UNKNOWN_RELEASE))).used() shouldBe setOf("n4")
                 MovePhase.entries.forEach { compile(found, move(it, 70)).used() shouldNotContain "n4" }
