Count a call's useful time from the first attempt of its caller

Callers grant all calls of a route the same time, so what is left of it tells the age of a call; the entry node tells the owner how long an answer is worth most. An attempt at a second owner no longer starts that time anew either.

OverloadSpec replays 1.5 times the load with callers that come back once, and fails when the age is unknown.

--- a/calls/src/test/kotlin/dev/baobabhollow/calls/OverloadSpec.kt
+++ b/calls/src/test/kotlin/dev/baobabhollow/calls/OverloadSpec.kt
@@ -25,6 +25,8 @@
 private class LoadReplay(
     private val load: (Long) -> Double,
     private val knowsUsefulTime: Boolean = true,
+    private val comesBack: Boolean = false,
+    private val knowsAge: Boolean = true,
     seed: Int = 1,
 ) {
     class Counts {
@@ -78,25 +80,29 @@
         val gap = -ln(1 - random.nextDouble()) * meanGap
         nextArrival += gap
         at(nextArrival.toLong()) {
-            submit(if (random.nextDouble() < RANK_ONE_SHARE) 1 else 2)
+            val rank = if (random.nextDouble() < RANK_ONE_SHARE) 1 else 2
+            byRank.getValue(rank).asked++
+            submit(rank, madeMillis = nowMillis)
             arrive()
         }
     }
 
     private var nextArrival = 0.0
 
-    private fun submit(rank: Int) {
-        val counts = byRank.getValue(rank)
+    private fun submit(
+        rank: Int,
+        madeMillis: Long,
+    ) {
         val arrived = nowMillis
-        counts.asked++
+        val useful = if (knowsUsefulTime) USEFUL_MILLIS else DEADLINE_MILLIS
         val request =
             SlotRequest(
                 MemberId("m"),
                 RouteId("r$rank"),
                 CallClass.LOOKUP,
-                deadlineMillis = arrived + DEADLINE_MILLIS,
+                deadlineMillis = madeMillis + DEADLINE_MILLIS,
                 rank = rank,
-                usefulUntilMillis = arrived + if (knowsUsefulTime) USEFUL_MILLIS else DEADLINE_MILLIS,
+                usefulUntilMillis = useful + if (knowsAge) madeMillis else arrived,
             )
         var ticket: Ticket? = null
         var early: Refusal? = null
@@ -107,30 +113,37 @@
                 early = refusal
                 isEarly = true
             } else {
-                decide(known, refusal, counts, arrived)
+                decide(known, refusal, arrived, madeMillis)
             }
         }
         val submitted = admission.submit(request, nowMillis * 1_000, nowMillis, decided)
         ticket = submitted
-        if (isEarly) decide(submitted, early, counts, arrived)
+        if (isEarly) decide(submitted, early, arrived, madeMillis)
     }
 
     private fun decide(
         ticket: Ticket,
         refusal: Refusal?,
-        counts: Counts,
         arrived: Long,
+        madeMillis: Long,
     ) {
+        val rank = ticket.request.rank
+        val counts = byRank.getValue(rank)
         if (refusal != null) {
-            counts.refused++
             longestRefusalMillis = maxOf(longestRefusalMillis, nowMillis - arrived)
+            if (!comesBack || arrived > madeMillis) {
+                counts.refused++
+                return
+            }
+            val pause = admission.expectedRoomMillis().coerceIn(1, (madeMillis + DEADLINE_MILLIS - nowMillis) / 3)
+            at(nowMillis + pause) { submit(rank, madeMillis) }
             return
         }
         val service = SERVICE_MILLIS * exp(0.3 * gaussian() - 0.045)
         at(nowMillis + service.toLong()) {
             admission.end(ticket, nowMillis * 1_000, nowMillis)
             counts.served++
-            if (nowMillis - arrived <= USEFUL_MILLIS) counts.useful++
+            if (nowMillis - madeMillis <= USEFUL_MILLIS) counts.useful++
         }
     }
 
@@ -162,6 +175,16 @@
                 replay.longestRefusalMillis shouldBeLessThan DEADLINE_MILLIS / 3
             }
 
+            // Guards against calls that come back late and take the slots of those that could still be answered in time.
+            it("prefers calls that it has not refused before") {
+                repeat(5) { seed ->
+                    val replay = LoadReplay({ 1.5 }, comesBack = true, seed = seed).run()
+                    replay.all.usefulShare() shouldBeGreaterThan GOODPUT / 1.5
+                    val without = LoadReplay({ 1.5 }, comesBack = true, knowsAge = false, seed = seed).run()
+                    without.all.usefulShare() shouldBeLessThan replay.all.usefulShare()
+                }
+            }
+
             it("serves the more urgent calls first, and all of them while they fit") {
                 val replay = LoadReplay({ 1.5 }).run()
                 replay.byRank.getValue(1).usefulShare() shouldBeGreaterThan 0.97
--- a/node/src/main/kotlin/dev/baobabhollow/node/PlatformTuning.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/PlatformTuning.kt
@@ -30,6 +30,7 @@
         callerService = settings.announcedTarget?.service,
         repeatsServerErrors = true,
         sendsTimeLeft = true,
+        learnsPatience = true,
         // Half of the time within which callers that have left must be noticed.
         maxLoopLagMillis = 250,
         budgetsRefusals = false,
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
@@ -12,17 +12,23 @@
 import java.util.concurrent.ThreadLocalRandom
 import kotlin.random.asKotlinRandom
 
+/** Says until when a call must be answered, and until when its answer is worth most; in epoch milliseconds. */
+internal data class CallDeadlines(
+    val lastMillis: Long,
+    val usefulMillis: Long,
+)
+
 /** Forwards a call to the owner of a target and, where the rules allow it, sends it again to another one. */
 internal class EntryExchange(
     node: NodeCore,
     front: FrontHandler,
-    deadlineMillis: Long,
+    private val deadlines: CallDeadlines,
     private val head: HttpRequest,
     private val route: Route,
     private val targets: ReleaseTargets,
     private val fixedTarget: TargetEndpoint?,
     private val callerCallId: String?,
-) : RelayExchange(node, front, deadlineMillis) {
+) : RelayExchange(node, front, deadlines.lastMillis) {
     private val replay = PendingBody()
     private val mayRetry = fixedTarget == null && !head.headers().contains(MeshHeaders.RETRY)
     private val startMicros = node.nowMicros()
@@ -74,7 +80,9 @@
         headers.set(MeshHeaders.CALL, callId)
         headers.set(MeshHeaders.DEADLINE, deadlineMillis - node.settings.hopMarginMillis)
         if (node.settings.sendsTimeLeft) {
-            headers.set(MeshHeaders.TIME_LEFT, deadlineMillis - node.settings.hopMarginMillis - node.nowMillis())
+            val margin = node.settings.hopMarginMillis + node.nowMillis()
+            headers.set(MeshHeaders.TIME_LEFT, deadlineMillis - margin)
+            headers.set(MeshHeaders.USEFUL_LEFT, deadlines.usefulMillis - margin)
         }
         // An attempt at the own target has taken this header out for the target.
         node.settings.callerService?.let { headers.set(MeshHeaders.CALLER, it.value) }
@@ -86,8 +94,9 @@
         callId: String,
     ): Attempt {
         head.headers().remove(MeshHeaders.ROUTE)
-        val deadline = deadlineMillis - node.settings.hopMarginMillis
-        return TargetCall(node, front.loop, route, chosen.release, callId, deadline, this)
+        val margin = node.settings.hopMarginMillis
+        val ofTarget = CallDeadlines(deadlineMillis - margin, deadlines.usefulMillis - margin)
+        return TargetCall(node, front.loop, route, chosen.release, callId, ofTarget, this)
     }
 
     private fun remoteAttempt(
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
@@ -71,19 +71,33 @@
         headers.remove(HttpHeaderNames.EXPECT)
         headers.remove(MeshHeaders.OUTCOME)
         headers.set(MeshHeaders.HOP, hop)
-        return start(front, deadline, head, route, keyOwner, caller.callId)
+        val deadlines = CallDeadlines(deadline, usefulUntil(route, caller, now, deadline))
+        return start(front, deadlines, head, route, keyOwner, caller.callId)
+    }
+
+    /** An answer is worth most for some time after the caller's first attempt, which may have been refused. */
+    private fun usefulUntil(
+        route: Route,
+        caller: CallerFacts,
+        nowMillis: Long,
+        deadlineMillis: Long,
+    ): Long {
+        val stated = caller.deadlineMillis?.takeIf { node.settings.learnsPatience }
+        val age = stated?.let { node.patience.ageMillis(route.id, it - nowMillis) } ?: 0
+        val usefulUntil = route.config.targetLatencyMillis?.let { nowMillis + it - age } ?: deadlineMillis
+        return minOf(usefulUntil, deadlineMillis)
     }
 
     private fun start(
         front: FrontHandler,
-        deadlineMillis: Long,
+        deadlines: CallDeadlines,
         head: HttpRequest,
         route: Route,
         keyOwner: TargetEndpoint?,
         callId: String?,
     ): Exchange {
         val targets = targetsOf(route)
-        val exchange = EntryExchange(node, front, deadlineMillis, head, route, targets, keyOwner, callId)
+        val exchange = EntryExchange(node, front, deadlines, head, route, targets, keyOwner, callId)
         exchange.start()
         return exchange
     }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/Headers.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/Headers.kt
@@ -36,6 +36,9 @@
     /** Holds the time left for a call on the leg between nodes, in milliseconds, because their clocks differ. */
     val TIME_LEFT: AsciiString = AsciiString.cached("x-baobabhollow-time-left")
 
+    /** Holds the time in milliseconds within which the answer is worth most, on the leg between nodes. */
+    val USEFUL_LEFT: AsciiString = AsciiString.cached("x-baobabhollow-useful-left")
+
     /** Names the service on whose VM the call began, on the leg between nodes. */
     val CALLER: AsciiString = AsciiString.cached("x-baobabhollow-caller")
 
@@ -55,6 +58,7 @@
         MeshHeaders.ROUTE,
         MeshHeaders.CALL,
         MeshHeaders.TIME_LEFT,
+        MeshHeaders.USEFUL_LEFT,
         MeshHeaders.CALLER,
     )
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
@@ -1,6 +1,7 @@
 package dev.baobabhollow.proxy
 
 import dev.baobabhollow.calls.Admission
+import dev.baobabhollow.calls.CallerPatience
 import dev.baobabhollow.calls.Outliers
 import dev.baobabhollow.calls.RetryBudgets
 import dev.baobabhollow.calls.Route
@@ -43,6 +44,7 @@
     val admission = Admission(settings.admission, self.target?.slots ?: 1)
     val outliers = Outliers(settings.outliers)
     val budgets = RetryBudgets(settings.retries)
+    val patience = CallerPatience()
     val picker =
         TargetPicker(settings.picker, self.node, outliers) {
             if (targetEndpoint ==
@@ -90,6 +92,7 @@
         picker.retain(table.nodes)
         outliers.retain(table.nodes)
         budgets.retain(table.services.keys)
+        patience.retain(table.routes.keys)
     }
 
     fun close() {
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/OwnerExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/OwnerExchange.kt
@@ -4,6 +4,7 @@
 import dev.baobabhollow.model.ReleaseId
 import dev.baobabhollow.model.RouteId
 import dev.baobabhollow.model.UNKNOWN_RELEASE
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 
@@ -11,9 +12,9 @@
 internal class OwnerExchange(
     node: NodeCore,
     front: FrontHandler,
-    deadlineMillis: Long,
+    private val deadlines: CallDeadlines,
     private val callId: String,
-) : RelayExchange(node, front, deadlineMillis) {
+) : RelayExchange(node, front, deadlines.lastMillis) {
     override val leg = "owner"
 
     fun start(
@@ -21,7 +22,7 @@
         route: Route,
         release: ReleaseId,
     ) {
-        val call = TargetCall(node, front.loop, route, release, callId, deadlineMillis, this)
+        val call = TargetCall(node, front.loop, route, release, callId, deadlines, this)
         attempt = call
         call.start(head)
         startTimer()
@@ -66,7 +67,18 @@
         val callId = headers.get(MeshHeaders.CALL) ?: node.newCallId()
         if (isKeyRequest(head)) return refused(front) { answerKey(node, front) }
         headers.remove(MeshHeaders.ROUTE)
-        return OwnerExchange(node, front, deadline, callId).also { it.start(head, route, target.release) }
+        val deadlines = CallDeadlines(deadline, usefulUntil(headers, route, now, deadline))
+        return OwnerExchange(node, front, deadlines, callId).also { it.start(head, route, target.release) }
+    }
+
+    private fun usefulUntil(
+        headers: HttpHeaders,
+        route: Route,
+        nowMillis: Long,
+        deadlineMillis: Long,
+    ): Long {
+        val stated = headers.get(MeshHeaders.USEFUL_LEFT)?.toLongOrNull() ?: route.config.targetLatencyMillis
+        return minOf(stated?.let { nowMillis + it } ?: deadlineMillis, deadlineMillis)
     }
 
     /** An entry node that chose the target before its release was known may have it all the same while nothing moves. */
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxySettings.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxySettings.kt
@@ -44,6 +44,8 @@
     val callerService: ServiceId? = null,
     /** True if owners get the time left beside the deadline, because the clocks of the nodes differ. */
     val sendsTimeLeft: Boolean = false,
+    /** True if callers of a route grant all calls the same time, so that what they state tells which ones come back. */
+    val learnsPatience: Boolean = false,
     /** Lag of the event loop above which calls are refused as not run, or null for no such limit. */
     val maxLoopLagMillis: Long? = null,
     /** True if idempotent calls are also sent again when a target answers with a server error. */
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
@@ -25,10 +25,11 @@
     private val route: Route,
     private val release: ReleaseId,
     private val callId: String,
-    private val deadlineMillis: Long,
+    private val deadlines: CallDeadlines,
     private val listener: AnswerListener,
 ) : Attempt,
     AnswerListener {
+    private val deadlineMillis = deadlines.lastMillis
     private var head: HttpRequest? = null
     private var key: ClaimedKey? = null
     private var ticket: Ticket? = null
@@ -85,14 +86,13 @@
 
     private fun slotRequest(): SlotRequest {
         val config = route.config
-        val usefulUntil = config.targetLatencyMillis?.let { node.nowMillis() + it } ?: deadlineMillis
         return SlotRequest(
             member = route.service.config.member,
             route = route.id,
             callClass = config.callClass,
             deadlineMillis = deadlineMillis,
             rank = config.priority ?: config.callClass.ordinal,
-            usefulUntilMillis = minOf(usefulUntil, deadlineMillis),
+            usefulUntilMillis = deadlines.usefulMillis,
         )
     }
 
