Keep requests with long bodies in their failure domain

The distance that the picker adds to a target of another domain now grows with the length of the body. ShortestWaitSpec fails without it.

--- a/calls/src/main/kotlin/dev/baobabhollow/calls/CallSettings.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/CallSettings.kt
@@ -16,6 +16,8 @@
     val placement: Placement = Placement.LOCAL_FIRST,
     /** Latency that a target of another failure domain costs beside its own, for the bytes between domains. */
     val remoteMicros: Long = 30_000,
+    /** What a kilobyte of the request's body adds to that: an upload of 60 KB then stays unless that costs it 300 ms. */
+    val remoteMicrosPerKilobyte: Long = 4_500,
     /** Least latency that is assumed, since an old or unknown one would make the load of a target look unimportant. */
     val assumedMicros: Long = 40_000,
     /** Time without any answer from a target with calls in flight after which it gets no further ones. */
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/TargetPicker.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/TargetPicker.kt
@@ -19,15 +19,20 @@
 
     /**
      * Returns a target of [targets] that is not in [tried], or null. A chosen target that returns from ejection carries
-     * the single probe call. If ejection leaves no target, ejected ones are used.
+     * the single probe call. If ejection leaves no target, ejected ones are used. [bodyBytes] is the length of the request's
+     * body, which costs more between failure domains the longer it is.
      */
     fun pick(
         targets: ReleaseTargets,
         tried: Set<NodeId>,
         nowMillis: Long,
         random: Random,
+        bodyBytes: Long = 0,
     ): TargetEndpoint? {
-        if (settings.placement == Placement.SHORTEST_WAIT) return shortestWait(targets, tried, nowMillis, random)
+        if (settings.placement == Placement.SHORTEST_WAIT) {
+            val remoteMicros = settings.remoteMicros + bodyBytes * settings.remoteMicrosPerKilobyte / KILOBYTE
+            return shortestWait(targets, tried, nowMillis, random, remoteMicros)
+        }
         val own = ownTarget(targets, tried, nowMillis)
         if (own != null) return own
         val local = betterOfTwo(targets.local, tried, nowMillis, random, ignoreEjection = false)
@@ -78,6 +83,7 @@
         tried: Set<NodeId>,
         nowMillis: Long,
         random: Random,
+        remoteMicros: Long,
     ): TargetEndpoint? {
         val untried = targets.all.filter { it.node !in tried }
         val usable = untried.filter { outliers.isUsable(it.node, nowMillis) && !isSilent(it, nowMillis) }
@@ -87,7 +93,7 @@
                 .plus(sample(candidates, COMPARED, random))
         val chosen =
             compared.minByOrNull { target ->
-                val distance = if (isLocal(target, targets)) 0L else settings.remoteMicros
+                val distance = if (isLocal(target, targets)) 0L else remoteMicros
                 (expectedMicros(target, nowMillis) + distance) * (1 + random.nextDouble() * NOISE)
             }
         return chosen?.let { claimed(it, nowMillis) }
@@ -234,6 +240,7 @@
 
     private companion object {
         const val FULL_PERMILLE = 1_000.0
+        const val KILOBYTE = 1_024
 
         /** Targets that are compared, beside those of the own failure domain. */
         const val COMPARED = 3
--- a/calls/src/test/kotlin/dev/baobabhollow/calls/ShortestWaitSpec.kt
+++ b/calls/src/test/kotlin/dev/baobabhollow/calls/ShortestWaitSpec.kt
@@ -32,7 +32,8 @@
             fun shareOf(
                 target: TargetEndpoint,
                 nowMillis: Long = 1_000,
-            ) = (0 until 1_000).count { picker.pick(targets, emptySet(), nowMillis, random) == target }
+                bodyBytes: Long = 0,
+            ) = (0 until 1_000).count { picker.pick(targets, emptySet(), nowMillis, random, bodyBytes) == target }
         }
 
         describe("a service with one target in each failure domain") {
@@ -43,6 +44,17 @@
                 bench.shareOf(local) shouldBeGreaterThan 600
             }
 
+            // Guards against uploads whose bytes cost more than the wait that they are spared.
+            it("is called elsewhere with a long body only when that saves a long wait") {
+                val bench = Bench()
+                val afterSlowStart = 1_000 + settings.slowStartMillis
+                remote.forEach { bench.finish(it, 60_000) }
+                bench.finish(local, 160_000)
+                bench.shareOf(local, afterSlowStart, 60_000) shouldBeGreaterThan 950
+                repeat(40) { bench.finish(local, 900_000) }
+                bench.shareOf(local, afterSlowStart, 60_000) shouldBeLessThan 50
+            }
+
             // Guards against callers that wait for a slow target beside them while others are free.
             it("is called elsewhere when the target of the own domain is much slower or full") {
                 val slow = Bench()
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
 import java.util.concurrent.ThreadLocalRandom
 import kotlin.random.asKotlinRandom
 
@@ -31,6 +32,8 @@
 ) : RelayExchange(node, front, deadlines.lastMillis) {
     private val replay = PendingBody()
     private val mayRetry = fixedTarget == null && !head.headers().contains(MeshHeaders.RETRY)
+    private val bodyBytes =
+        if (HttpUtil.isTransferEncodingChunked(head)) UNKNOWN_BODY_BYTES else HttpUtil.getContentLength(head, 0L)
     private val startMicros = node.nowMicros()
     private var attemptMicros = startMicros
     private var isBodyLost = false
@@ -53,7 +56,7 @@
     }
 
     private fun pick(): TargetEndpoint? =
-        node.picker.pick(targets, tried, node.nowMillis(), ThreadLocalRandom.current().asKotlinRandom())
+        node.picker.pick(targets, tried, node.nowMillis(), ThreadLocalRandom.current().asKotlinRandom(), bodyBytes)
 
     private fun send(chosen: TargetEndpoint) {
         attempts++
@@ -249,5 +252,8 @@
         const val UNAVAILABLE = 503
         const val SERVER_ERRORS = 500
         const val GATEWAY_TIMEOUT = 504
+
+        /** Bodies whose length is not known beforehand are mostly uploads. */
+        const val UNKNOWN_BODY_BYTES = 65_536L
     }
 }
