Leave silent and suspected targets sooner, and say when to come back

A target is now silent after four of its usual latencies, half a second at least, and one whose node answers no probes is only used while there is no other.

A node without a configuration or without any target for a call refuses it with the time after which it probably has it. Without that, callers came back within milliseconds of the refusal and were refused again.

--- a/calls/src/main/kotlin/dev/baobabhollow/calls/CallSettings.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/CallSettings.kt
@@ -20,8 +20,12 @@
     val remoteMicrosPerKilobyte: Long = 4_500,
     /** Least latency that is assumed, since an old or unknown one would make the load of a target look unimportant. */
     val assumedMicros: Long = 40_000,
-    /** Time without any answer from a target with calls in flight after which it gets no further ones. */
+    /** Longest time without any answer from a target with calls in flight after which it gets no further ones. */
     val silenceMillis: Long = 1_500,
+    /** Shortest such time, because pauses of a few hundred milliseconds are common on shared VMs. */
+    val minSilenceMillis: Long = 500,
+    /** Such time in usual latencies of the target; a call in a hundred takes about three times as long as most. */
+    val silenceLatencies: Int = 4,
 )
 
 /** Names the ways of choosing a target. */
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
@@ -140,6 +140,7 @@
                     target.service,
                     target.release,
                     target.slots,
+                    isSuspect = record.status == NodeStatus.SUSPECT,
                 )
             }
 
@@ -249,4 +250,6 @@
     val service: ServiceId,
     val release: ReleaseId,
     val slots: Int,
+    /** True while the node did not answer probes and may have failed. */
+    val isSuspect: Boolean = false,
 )
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/TargetPicker.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/TargetPicker.kt
@@ -76,7 +76,7 @@
 
     /**
      * Compares a few random targets, so that entry nodes with the same view do not all choose the same one. Targets that
-     * are ejected or silent are only used when there are no others.
+     * are suspected, ejected or silent are only used when there are no others.
      */
     private fun shortestWait(
         targets: ReleaseTargets,
@@ -86,7 +86,8 @@
         remoteMicros: Long,
     ): TargetEndpoint? {
         val untried = targets.all.filter { it.node !in tried }
-        val usable = untried.filter { outliers.isUsable(it.node, nowMillis) && !isSilent(it, nowMillis) }
+        val usable =
+            untried.filter { !it.isSuspect && outliers.isUsable(it.node, nowMillis) && !isSilent(it, nowMillis) }
         val candidates = usable.ifEmpty { untried }
         val compared =
             sample(candidates.filter { isLocal(it, targets) }, LOCAL_SAMPLE, random)
@@ -107,7 +108,7 @@
     private fun isSilent(
         target: TargetEndpoint,
         nowMillis: Long,
-    ) = stats.of(target, nowMillis).isSilent(nowMillis, settings.silenceMillis)
+    ) = stats.of(target, nowMillis).isSilent(nowMillis, settings)
 
     private fun sample(
         targets: List<TargetEndpoint>,
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/TargetStats.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/TargetStats.kt
@@ -37,10 +37,16 @@
         waitsSinceMillis = nowMillis
     }
 
+    /** Tells whether calls wait for several times as long as answers of the target usually take. */
     fun isSilent(
         nowMillis: Long,
-        silenceMillis: Long,
-    ): Boolean = inFlight.get() > 0 && nowMillis - waitsSinceMillis > silenceMillis
+        settings: PickerSettings,
+    ): Boolean {
+        if (inFlight.get() == 0) return false
+        val usualMillis = (latencyMicros / MICROS_PER_MILLI).toLong()
+        val known = if (usualMillis == 0L) settings.silenceMillis else usualMillis * settings.silenceLatencies
+        return nowMillis - waitsSinceMillis > known.coerceIn(settings.minSilenceMillis, settings.silenceMillis)
+    }
 
     fun observe(
         micros: Long,
@@ -93,6 +99,7 @@
         const val OLD_WEIGHT = 0.9
         const val NEW_WEIGHT = 0.1
         const val FULL_PERMILLE = 1_000.0
+        const val MICROS_PER_MILLI = 1_000
         val LN_2 = ln(2.0)
     }
 }
--- a/calls/src/test/kotlin/dev/baobabhollow/calls/ShortestWaitSpec.kt
+++ b/calls/src/test/kotlin/dev/baobabhollow/calls/ShortestWaitSpec.kt
@@ -91,11 +91,12 @@
 
         describe("a target that answers nothing") {
             // Guards against calls that vanish behind a partition until their deadline.
-            it("gets no calls once it has been silent, until it answers") {
+            it("gets no calls once it has been silent for several usual latencies, until it answers") {
                 val bench = Bench()
-                targets.all.forEach { bench.finish(it, 60_000) }
+                targets.all.forEach { bench.finish(it, 200_000) }
                 bench.picker.started(local, 1_000)
-                val later = 1_000 + settings.silenceMillis + 1
+                bench.shareOf(local, 1_700) shouldBeGreaterThan 0
+                val later = 1_000 + 4 * 200 + 1L
                 remote.forEach { bench.finish(it, 60_000, nowMillis = later) }
                 bench.shareOf(local, later) shouldBe 0
                 bench.picker.finished(local, 60_000, 100, later)
@@ -109,4 +110,17 @@
                 bench.picker.pick(only, emptySet(), 9_000, bench.random) shouldBe local
             }
         }
+
+        describe("a target whose node answers no probes") {
+            // Guards against calls to nodes behind a partition while membership still waits for their refutation.
+            it("gets calls only while there is no other") {
+                val bench = Bench()
+                val suspect = local.copy(isSuspect = true)
+                val some = ReleaseTargets(OLD, listOf(suspect), remote)
+                val only = ReleaseTargets(OLD, listOf(suspect), remote.map { it.copy(isSuspect = true) })
+                val picks = List(1_000) { bench.picker.pick(some, emptySet(), 1_000, bench.random)?.node }
+                picks.count { it == local.node } shouldBe 0
+                bench.picker.pick(only, emptySet(), 1_000, bench.random)?.isSuspect shouldBe true
+            }
+        }
     })
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
@@ -52,7 +52,7 @@
         startTimer()
         node.budgets.of(route.service.id).onCall()
         val first = fixedTarget ?: pick()
-        if (first == null) fail(CallFailure.notRun(FailureReason.NO_TARGET)) else send(first)
+        if (first == null) fail(node.absent(FailureReason.NO_TARGET)) else send(first)
     }
 
     private fun pick(): TargetEndpoint? =
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
@@ -26,7 +26,7 @@
         val table = node.tables()
         val host = head.headers().get(HttpHeaderNames.HOST)?.substringBefore(':')
         if (node.isDraining) return refused(front, CallFailure.notRun(FailureReason.DRAINING))
-        if (!table.isReady) return refused(front, CallFailure.notRun(FailureReason.NOT_READY))
+        if (!table.isReady) return refused(front, node.absent(FailureReason.NOT_READY))
         node.lagRefusal(front.loop)?.let { return refused(front, it) }
         val route =
             table.match(path, host)
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
@@ -80,6 +80,9 @@
         return if (lag > limit) CallFailure.notRun(FailureReason.NODE_BUSY).copy(roomInMillis = lag) else null
     }
 
+    /** Returns the refusal of a call for which the node lacks what is about to come. */
+    fun absent(reason: FailureReason) = CallFailure.notRun(reason).copy(roomInMillis = settings.absentRoomMillis)
+
     fun update(self: NodeRecord) {
         this.self = self
         val target = self.target ?: return admission.drain()
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxySettings.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxySettings.kt
@@ -46,6 +46,8 @@
     val sendsTimeLeft: Boolean = false,
     /** True if callers of a route grant all calls the same time, so that what they state tells which ones come back. */
     val learnsPatience: Boolean = false,
+    /** Time in milliseconds after which a node that lacks its configuration or any target probably has it, if known. */
+    val absentRoomMillis: Long? = null,
     /** Lag of the event loop above which calls are refused as not run, or null for no such limit. */
     val maxLoopLagMillis: Long? = null,
     /** True if idempotent calls are also sent again when a target answers with a server error. */
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/ForeignProtocolSpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/ForeignProtocolSpec.kt
@@ -3,6 +3,7 @@
 import dev.baobabhollow.calls.PickerSettings
 import dev.baobabhollow.calls.Placement
 import dev.baobabhollow.calls.RetryBudgetSettings
+import dev.baobabhollow.calls.RoutingTable
 import dev.baobabhollow.model.ServiceId
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.longs.shouldBeInRange
@@ -46,6 +47,7 @@
     ) {
         callId?.let { head.headers().set("id", it) }
         if (isNotRun) head.headers().set("is-not-run", "1")
+        retryAfterMillis?.let { head.headers().set("room-in", it) }
     }
 }
 
@@ -113,6 +115,17 @@
                 refusing.close()
             }
 
+            // Guards against callers that come back at once to a node which has just started, and are refused again.
+            it("gets a refusal that says when to come back while no target is known") {
+                TestMesh(emptyList(), settings = settings.copy(absentRoomMillis = 500)).use { mesh ->
+                    val answer = call(mesh.port, "/orders/1", "POST", "id: c1\r\n")
+                    answer?.reason shouldBe "no-target"
+                    answer?.headers?.get("room-in") shouldBe "500"
+                    mesh.table = RoutingTable.EMPTY
+                    call(mesh.port, "/orders/1", "POST", "id: c1\r\n")?.headers?.get("room-in") shouldBe "500"
+                }
+            }
+
             // Guards against an answer to an earlier call that reaches the next caller on the connection.
             it("waits for its own answer behind a late one to another call") {
                 val target =
