Keep the target of a stopping node in use until callers have left

The logs of sidecar-cr-central-b-3 show why: told to stop at 22.1 s, the node announced at once that it leaves, served only its callers for 3 s with nothing in flight, and knew its target again at 27.1 s; four nodes were stopped in turn. A node now leaves after the two probes in which callers learn that it is not ready, so its target is missing for the restart alone.

The logs also showed that the stop ended with an exception: the first of three servers closed the threads of the others.

--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -143,8 +143,8 @@
         targetDuty?.close()
         directoryDuty?.close()
         proxy?.announceClose()
-        val isAnnounced = control.leave(nowMillis() + LEAVE_MILLIS)
         serveOn(stopBy.serveUntilMillis)
+        val isAnnounced = control.leave(nowMillis() + LEAVE_MILLIS)
         val left = proxy?.drain(stopBy.drainUntilMillis) ?: 0
         duties.shutdownNow()
         proxy?.close()
@@ -153,11 +153,15 @@
         adapter.close()
         platformServers.forEach { it.close() }
         operators.close()
+        operatorGroup.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS).awaitUninterruptibly(CLOSE_MILLIS)
         EventLog.write("node_stopped", "announced" to isAnnounced, "callsCutOff" to left)
         return left
     }
 
-    /** Callers learn only by and by that the node is not ready; until then their calls are served. */
+    /**
+     * Callers learn only by and by that the node is not ready; until then their calls are served. Other nodes are told after
+     * that, because nobody else can reach the target beside this node.
+     */
     private fun serveOn(untilMillis: Long) {
         val leftMillis = untilMillis - nowMillis()
         if (leftMillis > 0) Thread.sleep(leftMillis)
@@ -286,6 +290,9 @@
         const val NOT_FOUND = 404
         const val UNAVAILABLE = 503
 
+        /** Longest time for closing the connections of operators. */
+        const val CLOSE_MILLIS = 500L
+
         /** Bound within which a leaving target gets no new work. */
         const val LEAVE_MILLIS = 3_000L
 
--- a/node/src/main/kotlin/dev/baobabhollow/node/OperatorServer.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/OperatorServer.kt
@@ -43,14 +43,16 @@
 
 /**
  * Serves the operator port at [endpoint] with one thread. [handle] must not block; an answer that has to wait completes its
- * future later. Servers may share one [group], which the first that closes ends. Requests with bodies above [maxBodyBytes] are refused with status 413.
+ * future later. Servers may share one [sharedGroup], which its owner ends. Requests with bodies above [maxBodyBytes] are
+ * refused with status 413.
  */
 class OperatorServer(
     private val endpoint: Endpoint,
     private val maxBodyBytes: Int,
-    private val group: IoEventLoopGroup = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()),
+    private val sharedGroup: IoEventLoopGroup? = null,
     private val handle: (OperatorRequest) -> CompletableFuture<OperatorResponse>,
 ) : AutoCloseable {
+    private val group = sharedGroup ?: MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private var channel: Channel? = null
 
     /** Binds the port. Throws when it is taken. */
@@ -79,6 +81,7 @@
     /** Closes the port and all connections. */
     override fun close() {
         channel?.close()?.syncUninterruptibly()
+        if (sharedGroup != null) return
         group.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS).awaitUninterruptibly(CLOSE_MILLIS)
     }
 
--- a/node/src/main/kotlin/dev/baobabhollow/node/StopTimes.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/StopTimes.kt
@@ -9,10 +9,10 @@
         /** Time for closing everything after the drain. */
         private const val CLOSE_MILLIS = 700L
 
-        /**
-         * Part of the time to the end in which new calls are still served. The platform notices after two probes a second
-         * apart that the node is not ready.
-         */
+        /** The platform notices after two probes a second apart that a node is not ready. */
+        private const val SERVE_MILLIS = 2_200L
+
+        /** Longest part of the time to the end in which new calls are still served, so that they can end. */
         private const val SERVE_SHARE = 0.5
 
         fun of(
@@ -22,7 +22,7 @@
             val whole = limits.stopWithinSeconds ?: return StopTimes(nowMillis, nowMillis + limits.drainMillis)
             val wholeMillis = (whole * MILLIS_PER_SECOND).toLong()
             return StopTimes(
-                serveUntilMillis = nowMillis + (wholeMillis * SERVE_SHARE).toLong(),
+                serveUntilMillis = nowMillis + minOf(SERVE_MILLIS, (wholeMillis * SERVE_SHARE).toLong()),
                 drainUntilMillis = nowMillis + (wholeMillis - CLOSE_MILLIS).coerceAtLeast(0),
             )
         }
