Refuse a late call while its caller still has time

All waiting calls are now looked at with each decision, and a spare slot is awaited for a sixteenth.

--- a/calls/src/main/kotlin/dev/baobabhollow/calls/Admission.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/Admission.kt
@@ -94,7 +94,6 @@
         decided: (Refusal?) -> Unit,
     ): Ticket {
         val ticket = Ticket(request, decided)
-        ticket.patientUntilMillis = nowMillis + (request.deadlineMillis - nowMillis) / PATIENCE_PARTS
         val decisions = Decisions()
         synchronized(this) {
             val refusal = refusalOf(request, nowMillis)
@@ -219,11 +218,11 @@
         nowMillis: Long,
         decisions: Decisions,
     ) {
-        late.removeIf { nowMillis >= it.patientUntilMillis }.forEach { refuse(it, Refusal.WAIT_TOO_LONG, decisions) }
+        setLateAside(nowMillis, decisions)
         val uploadSlots = (slots * settings.uploadSlotsPermille / FULL_PERMILLE).coerceAtLeast(1)
         while (holding < slots) {
             val isAllowed = holdingUploads < uploadSlots
-            val ticket = nextUseful(isAllowed, nowMillis, decisions) ?: late.poll(isAllowed) ?: return
+            val ticket = queue.poll(isAllowed) ?: late.poll(isAllowed) ?: return
             if (nowMillis >= ticket.request.deadlineMillis) {
                 refuse(ticket, Refusal.DEADLINE_PASSED, decisions)
                 continue
@@ -237,22 +236,22 @@
         }
     }
 
-    /** Returns the next call whose answer can still be useful, and sets those aside that have waited for too long. */
-    private fun nextUseful(
-        uploadsAllowed: Boolean,
+    /**
+     * Sets calls aside whose answers can no longer be useful, also where calls of higher ranks keep them from their turn, and
+     * refuses those that have waited for a spare slot for too long.
+     */
+    private fun setLateAside(
         nowMillis: Long,
         decisions: Decisions,
-    ): Ticket? {
-        while (true) {
-            val ticket = queue.poll(uploadsAllowed) ?: return null
-            if (!hasUsefulTime(ticket.request) || isUseful(ticket.request, 0.0, nowMillis)) return ticket
-            if (late.size <
-                lateLimit().coerceAtLeast(1)
-            ) {
-                late.add(ticket)
-            } else {
+    ) {
+        late.removeIf { nowMillis >= it.patientUntilMillis }.forEach { refuse(it, Refusal.WAIT_TOO_LONG, decisions) }
+        for (ticket in queue.removeIf { hasUsefulTime(it.request) && !isUseful(it.request, 0.0, nowMillis) }) {
+            if (late.size >= lateLimit().coerceAtLeast(1)) {
                 refuse(ticket, Refusal.WAIT_TOO_LONG, decisions)
+                continue
             }
+            ticket.patientUntilMillis = nowMillis + (ticket.request.deadlineMillis - nowMillis) / PATIENCE_PARTS
+            late.add(ticket)
         }
     }
 
@@ -290,8 +289,8 @@
         /** Service times of one route differ by about a third. */
         const val SERVICE_TIME_MARGIN = 1.25
 
-        /** A call that will be late is refused after this part of its time, so that its caller can still try again. */
-        const val PATIENCE_PARTS = 4
+        /** A call that will be late is refused after this part of its time: slots that nobody else wants come at once or not. */
+        const val PATIENCE_PARTS = 16
     }
 }
 
