--- a/moves/src/main/kotlin/dev/baobabhollow/moves/ShortMoveJudge.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/ShortMoveJudge.kt
@@ -171,7 +171,7 @@
             val new = outcomes.new
             val old = outcomes.old
             if (!isSpread(new)) continue
-            if (hasTooManyErrors(new, policy.factor * old.errorShare.coerceAtMost(MAX_OLD_SHARE))) {
+            if (hasTooManyErrors(new, errorLimit(old))) {
                 return "errors on route $route: ${new.errors} of ${new.calls} calls, old ${old.errors} of ${old.calls}"
             }
             val slowLimit = maxOf(policy.minSlowShare, policy.factor * old.slowShare.coerceAtMost(MAX_OLD_SHARE))
@@ -182,6 +182,13 @@
         return null
     }
 
+    /** Calls on some routes fail whatever the release does, and then only clearly more failures say something about it. */
+    private fun errorLimit(old: Side): Double {
+        val limit = policy.factor * old.errorShare.coerceAtMost(MAX_OLD_SHARE)
+        val isFailing = old.errors >= policy.minErrors && old.errorShare >= MAX_OLD_SHARE
+        return if (isFailing) maxOf(limit, old.errorShare + policy.severeErrorShare) else limit
+    }
+
     private fun hasTooManyErrors(
         new: Side,
         oldLimit: Double,
