--- a/moves/src/main/kotlin/dev/baobabhollow/moves/ShortMoveJudge.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/ShortMoveJudge.kt
@@ -8,6 +8,7 @@
 import dev.baobabhollow.model.NodeId
 import dev.baobabhollow.model.OutcomeSummary
 import dev.baobabhollow.model.RouteId
+import org.apache.logging.log4j.LogManager
 
 /**
  * Sets how a move is judged whose deadline is seconds away. All shares of time are parts of the time from the order to the
@@ -133,9 +134,9 @@
     ) {
         try {
             outcomes.oldLatency.mergeEncoded(summary.latency)
-        } catch (_: IllegalArgumentException) {
-            // The errors of a summary with malformed latencies still count.
-            return
+        } catch (e: IllegalArgumentException) {
+            // The errors of the summary still count.
+            LOG.warn("event=latencies_unreadable node={} reason={}", summary.node, e.message)
         }
     }
 
@@ -153,7 +154,8 @@
                     timed += occurrences
                     if (micros > limit) slow += occurrences
                 }
-            } catch (_: IllegalArgumentException) {
+            } catch (e: IllegalArgumentException) {
+                LOG.warn("event=latencies_unreadable node={} reason={}", summary.node, e.message)
                 slow = 0
                 timed = 0
             }
@@ -216,6 +218,7 @@
         )
 
     private companion object {
+        val LOG = LogManager.getLogger(ShortMoveJudge::class.java)
         const val MEDIAN = 0.5
 
         /** Fewest calls of the old release from which its median is taken. */
--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -186,9 +186,7 @@
 
     private fun answerReadiness(request: OperatorRequest): OperatorResponse {
         if (request.path != adapter.readinessPath) return OperatorResponse(NOT_FOUND, errorBody("no such path"))
-        val lacking = facts().lacking
-        val body = OperatorJson.encodeToString(ReadinessDocument(lacking.isEmpty(), lacking))
-        return OperatorResponse(if (lacking.isEmpty()) OK else UNAVAILABLE, body)
+        return readinessAnswer(facts().lacking)
     }
 
     private fun liveNodes(): Set<NodeId> = control.view.live().mapTo(HashSet()) { it.node }
@@ -286,9 +284,7 @@
 
         /** Moves that are ordered to end within seconds are decided on counts that are this old at most. */
         const val FAST_COUNT_MILLIS = 200L
-        const val OK = 200
         const val NOT_FOUND = 404
-        const val UNAVAILABLE = 503
 
         /** Longest time for closing the connections of operators. */
         const val CLOSE_MILLIS = 500L
--- a/node/src/main/kotlin/dev/baobabhollow/node/OperatorRoutes.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/OperatorRoutes.kt
@@ -8,6 +8,15 @@
 import java.io.ByteArrayOutputStream
 import java.util.concurrent.CompletableFuture
 
+private const val READY = 200
+private const val NOT_READY = 503
+
+/** Answers whether the node is ready, with what it lacks. */
+internal fun readinessAnswer(lacking: List<String>): OperatorResponse {
+    val body = OperatorJson.encodeToString(ReadinessDocument(lacking.isEmpty(), lacking))
+    return OperatorResponse(if (lacking.isEmpty()) READY else NOT_READY, body)
+}
+
 /** Answers requests at the operator port from the facts of one node. [applyFaults] is null unless injection is enabled. */
 internal class OperatorRoutes(
     private val settings: NodeSettings,
@@ -43,11 +52,7 @@
             "/burn" to { json(BurnDocument.serializer(), burn()) },
         )
 
-    private fun readiness(): OperatorResponse {
-        val lacking = facts().lacking
-        val body = OperatorJson.encodeToString(ReadinessDocument(lacking.isEmpty(), lacking))
-        return OperatorResponse(if (lacking.isEmpty()) OK else UNAVAILABLE, body)
-    }
+    private fun readiness() = readinessAnswer(facts().lacking)
 
     private fun metrics(): OperatorResponse {
         val text = ByteArrayOutputStream()
@@ -151,6 +156,5 @@
         const val FORBIDDEN = 403
         const val NOT_FOUND = 404
         const val METHOD_NOT_ALLOWED = 405
-        const val UNAVAILABLE = 503
     }
 }
--- a/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/ConnectionPool.kt
+++ b/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/ConnectionPool.kt
@@ -12,12 +12,10 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
-import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.util.NetUtil
 import io.netty.util.concurrent.DefaultThreadFactory
-import jdk.net.ExtendedSocketOptions
 import java.net.InetAddress
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentLinkedDeque
@@ -42,13 +40,7 @@
             .handler(Initializer(limits.maxAnswerBytes))
 
     init {
-        limits.keepAliveSeconds?.let { seconds ->
-            bootstrap
-                .option(ChannelOption.SO_KEEPALIVE, true)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), seconds)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), 1)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), 2)
-        }
+        limits.keepAliveSeconds?.let { bootstrap.keepAlive(it) }
     }
 
     @Volatile
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ConnectionPool.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ConnectionPool.kt
@@ -1,16 +1,15 @@
 package dev.baobabhollow.proxy
 
 import dev.baobabhollow.model.Endpoint
+import dev.baobabhollow.platformlog.keepAlive
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
-import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpRequestEncoder
-import jdk.net.ExtendedSocketOptions
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentLinkedDeque
 import java.util.concurrent.TimeUnit
@@ -65,12 +64,6 @@
         settings.keepAliveSeconds?.let { bootstrap.keepAlive(it) }
     }
 
-    private fun Bootstrap.keepAlive(seconds: Int) =
-        option(ChannelOption.SO_KEEPALIVE, true)
-            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), seconds)
-            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), 1)
-            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), 2)
-
     /** Calls [ready] with a connection, or with null and a reason other than a failed connect. */
     fun acquire(ready: (UpstreamConnection?, FailureReason?) -> Unit) = acquire(LIMIT_RETRIES, ready)
 
