--- a/cli/src/main/kotlin/dev/baobabhollow/cli/Commands.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/Commands.kt
@@ -3,6 +3,7 @@
 import dev.baobabhollow.cli.capacity.CapacityCommand
 import dev.baobabhollow.cli.demo.DemoCommand
 import dev.baobabhollow.cli.faults.BenchFaultsCommand
+import dev.baobabhollow.cli.faults.BenchSoakCommand
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
 
@@ -44,6 +45,7 @@
             BenchMovesCommand(output),
             BenchCallsCommand(output),
             BenchFaultsCommand(output),
+            BenchSoakCommand(output),
             BenchDistributionCommand(output),
             BenchClaimsCommand(output),
         ),
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/faults/Fault.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/faults/Fault.kt
@@ -20,8 +20,8 @@
 private const val NO_NODE_FAULTS = "{}"
 
 // Stand-ins change only the faults that are named.
-private const val NO_TARGET_FAULTS = "{\"freeze\":false,\"truncatePermille\":0,\"closePermille\":0}"
-private const val NO_LOG_FAULTS = "{\"outage\":false,\"slowMillis\":0,\"loseAnswersPermille\":0}"
+internal const val NO_TARGET_FAULTS = "{\"freeze\":false,\"truncatePermille\":0,\"closePermille\":0}"
+internal const val NO_LOG_FAULTS = "{\"outage\":false,\"slowMillis\":0,\"loseAnswersPermille\":0}"
 
 internal val FAULTS: List<Fault> =
     listOf(
@@ -98,7 +98,7 @@
     cluster.post(cluster.log, "/trim", "{\"stream\":\"configuration\",\"beforeOffset\":$end}")
 }
 
-private fun cutDomains(cluster: FaultCluster) {
+internal fun cutDomains(cluster: FaultCluster) {
     cluster.nodes.forEach { node ->
         val other = if (node.domain == HEALTHY_DOMAIN) FAULTY_DOMAIN else HEALTHY_DOMAIN
         val body = "{\"dropControl\":[\"$other\"],\"dropCalls\":[\"$other\"]}"
@@ -106,5 +106,5 @@
     }
 }
 
-private fun joinDomains(cluster: FaultCluster) =
+internal fun joinDomains(cluster: FaultCluster) =
     cluster.nodes.forEach { cluster.post(it.operator, "/faults", NO_NODE_FAULTS) }
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/faults/FaultMatrix.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/faults/FaultMatrix.kt
@@ -39,23 +39,10 @@
         steps: List<FaultStep>,
     ): List<CellResult> =
         FaultCluster(children, directory).use { cluster ->
-            prepare(cluster)
+            prepare(cluster, say)
             faults.flatMap { fault -> steps.map { step -> runCell(cluster, fault, step) } }
         }
 
-    private fun prepare(cluster: FaultCluster) {
-        val deadline = System.currentTimeMillis() + START_MILLIS
-        val count = cluster.nodes.size
-        val isMet = cluster.awaitUntil(deadline) { cluster.nodes.all { cluster.status(it)?.liveNodes == count } }
-        if (!isMet) fail("the nodes did not find each other")
-        val outcome =
-            HttpPlatformLog(cluster.log).use {
-                Publisher(it, cluster.operators, cluster.healthy.first().operator).publish(0, FIRST, "ana", deadline)
-            }
-        say("first configuration: $outcome")
-        if (!cluster.awaitAgreement(deadline)) fail("the nodes did not agree at the start")
-    }
-
     private fun runCell(
         cluster: FaultCluster,
         fault: Fault,
@@ -100,19 +87,34 @@
         fault: Fault,
         node: DemoNode,
     ): Boolean = (fault.hitsDomain && node in cluster.faulty) || (fault.hitsVictim && node == cluster.victim)
+}
 
-    private companion object {
-        val FIRST =
-            Patch(
-                listOf(
-                    Change.PutMember(MemberId("m"), MemberConfig("M")),
-                    Change.PutService(
-                        ServiceId("s"),
-                        ServiceConfig(MemberId("m"), setOf(ReleaseId("1"), ReleaseId("2")), ReleaseId("1")),
-                    ),
-                    Change.PutRoute(RouteId("look"), RouteConfig(ServiceId("s"), "/s")),
-                    Change.PutRoute(RouteId("once"), RouteConfig(ServiceId("s"), "/once", idempotent = false)),
-                ),
-            )
-    }
+/** Waits for the nodes to find each other, and publishes the first configuration. */
+internal fun prepare(
+    cluster: FaultCluster,
+    say: (String) -> Unit,
+) {
+    val deadline = System.currentTimeMillis() + START_MILLIS
+    val count = cluster.nodes.size
+    val isMet = cluster.awaitUntil(deadline) { cluster.nodes.all { cluster.status(it)?.liveNodes == count } }
+    if (!isMet) fail("the nodes did not find each other")
+    val outcome =
+        HttpPlatformLog(cluster.log).use {
+            Publisher(it, cluster.operators, cluster.healthy.first().operator).publish(0, FIRST, "ana", deadline)
+        }
+    say("first configuration: $outcome")
+    if (!cluster.awaitAgreement(deadline)) fail("the nodes did not agree at the start")
 }
+
+private val FIRST =
+    Patch(
+        listOf(
+            Change.PutMember(MemberId("m"), MemberConfig("M")),
+            Change.PutService(
+                ServiceId("s"),
+                ServiceConfig(MemberId("m"), setOf(ReleaseId("1"), ReleaseId("2")), ReleaseId("1")),
+            ),
+            Change.PutRoute(RouteId("look"), RouteConfig(ServiceId("s"), "/s")),
+            Change.PutRoute(RouteId("once"), RouteConfig(ServiceId("s"), "/once", idempotent = false)),
+        ),
+    )
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/faults/FaultStep.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/faults/FaultStep.kt
@@ -83,10 +83,11 @@
     cluster.awaitUntil(System.currentTimeMillis() + LOAD_MILLIS) { false }
     fault.heal(cluster)
     load.stop()
-    return judge(load.records, executions(cluster))
+    return judgeCalls(load.records, executions(cluster))
 }
 
-private fun executions(cluster: FaultCluster): Map<String, Int> =
+/** Counts how often the targets have run each request, by its identifier. */
+internal fun executions(cluster: FaultCluster): Map<String, Int> =
     cluster.nodes
         .flatMap { statsOf(cluster, it).executionsByRequestId.entries }
         .groupBy({ it.key }, { it.value })
@@ -107,7 +108,8 @@
     )
 }
 
-private fun judge(
+/** Returns how many of [calls] were served, or throws [StepBroken] when one was answered or run as promised otherwise. */
+internal fun judgeCalls(
     calls: List<CallRecord>,
     executions: Map<String, Int>,
 ): String {
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/faults/LogRelay.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/faults/LogRelay.kt
@@ -8,6 +8,8 @@
 import java.util.concurrent.ConcurrentHashMap
 
 private const val HOST = "127.0.0.1"
+private const val BUFFER_BYTES = 65_536
+private const val SILENCE_CHECK_MILLIS = 50L
 
 /** Forwards connections to the platform log at [log], so that the nodes behind it can be cut off from the log. */
 internal class LogRelay(
@@ -24,6 +26,14 @@
             if (value) closeSockets()
         }
 
+    /** Passes nothing on and closes nothing while set, as connections do that have gone silent. */
+    @Volatile
+    var isSilent = false
+
+    /** Time in milliseconds by which each part of a message is late. */
+    @Volatile
+    var delayMillis = 0L
+
     /** Address that takes the place of the log's. */
     val endpoint: Endpoint get() = Endpoint(HOST, server.localPort)
 
@@ -31,6 +41,9 @@
         daemon("log-relay") { acceptAll() }
     }
 
+    /** Closes all connections and takes new ones. */
+    fun reset() = closeSockets()
+
     override fun close() {
         server.close()
         closeSockets()
@@ -55,12 +68,31 @@
         from: Socket,
         to: Socket,
     ) {
-        tryIo { from.getInputStream().transferTo(to.getOutputStream()) }
+        tryIo { copyBytes(from, to) }
         sockets -= from
         from.close()
         to.close()
     }
 
+    private fun copyBytes(
+        from: Socket,
+        to: Socket,
+    ) {
+        val buffer = ByteArray(BUFFER_BYTES)
+        while (true) {
+            val count = from.getInputStream().read(buffer)
+            if (count < 0) return
+            if (delayMillis > 0) Thread.sleep(delayMillis)
+            // What has been held up is lost with its connection.
+            if (isSilent) return awaitSound()
+            to.getOutputStream().write(buffer, 0, count)
+        }
+    }
+
+    private fun awaitSound() {
+        while (isSilent) Thread.sleep(SILENCE_CHECK_MILLIS)
+    }
+
     private fun closeSockets() = sockets.toList().forEach { it.close() }
 
     private fun daemon(
--- /dev/null
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/faults/Soak.kt
@@ -0,0 +1,158 @@
+package dev.baobabhollow.cli.faults
+
+import dev.baobabhollow.cli.Children
+import dev.baobabhollow.cli.demo.DemoNode
+import dev.baobabhollow.cli.demo.LoadGenerator
+import dev.baobabhollow.cli.demo.LoadRoute
+import dev.baobabhollow.cli.demo.VersionWatch
+import java.io.File
+import java.util.concurrent.TimeUnit
+
+private const val CALLS_PER_SECOND = 60
+private const val AGREEMENT_MILLIS = 30_000L
+
+/** Time that a planned stop may take, with a margin; the limit of the nodes is ten seconds. */
+private const val STOP_SECONDS = 20L
+
+/** Says whether a soak kept all promises, and what was seen. */
+internal data class SoakResult(
+    val seed: Long,
+    val isHeld: Boolean,
+    val seen: String,
+)
+
+/**
+ * Runs real processes under the faults of [soakPlan], with callers and operators that go on meanwhile, and checks what they
+ * and the targets have seen.
+ */
+internal class Soak(
+    private val children: Children,
+    private val directory: File,
+    private val say: (String) -> Unit,
+) {
+    /** Draws faults from [seed] for [spanMillis], heals them all and judges. */
+    fun run(
+        seed: Long,
+        spanMillis: Long,
+    ): SoakResult =
+        FaultCluster(children, directory).use { cluster ->
+            prepare(cluster, say)
+            val plan = soakPlan(seed, spanMillis, cluster.nodes.size)
+            plan.forEach { say("seed $seed: $it") }
+            val watch = VersionWatch(cluster.operators, cluster.nodes.take(WATCHED_NODES))
+            val load = LoadGenerator(callers(cluster), ROUTES, CALLS_PER_SECOND, idPrefix = "soak-$seed")
+            val operator = SoakOperator(cluster, seed)
+            watch.start()
+            load.start()
+            operator.start()
+            play(cluster, plan)
+            operator.stop()
+            load.stop()
+            judge(seed, cluster, load, operator, watch).also { watch.close() }
+        }
+
+    private fun callers(cluster: FaultCluster) = cluster.nodes.map { it.settings.addresses.callers }
+
+    private fun play(
+        cluster: FaultCluster,
+        plan: List<SoakStep>,
+    ) {
+        val names = cluster.nodes.map { it.settings.node }
+        val nodeOf = { step: SoakStep -> cluster.nodes.first { it.settings.node == names[step.node] } }
+        val start = System.currentTimeMillis()
+        plan
+            .flatMap {
+                listOf(
+                    it.startMillis to { begin(cluster, it, nodeOf(it)) },
+                    it.endMillis to { end(cluster, it, nodeOf(it)) },
+                )
+            }.sortedBy { it.first }
+            .forEach { (atMillis, action) ->
+                val left = start + atMillis - System.currentTimeMillis()
+                if (left > 0) Thread.sleep(left)
+                action()
+            }
+    }
+
+    private fun begin(
+        cluster: FaultCluster,
+        step: SoakStep,
+        node: DemoNode,
+    ) = when (step.fault) {
+        SoakFault.KILL -> cluster.kill(node)
+        SoakFault.PLANNED_STOP -> cluster.signal(node, "TERM")
+        SoakFault.PAUSE -> cluster.signal(node, "STOP")
+        SoakFault.FREEZE_TARGET -> cluster.post(node.target, "/faults", "{\"freeze\":true}")
+        SoakFault.TRUNCATE_ANSWERS -> cluster.post(node.target, "/faults", "{\"truncatePermille\":400}")
+        SoakFault.CUT_LOG -> cluster.relay.isCut = true
+        SoakFault.SILENCE_LOG -> cluster.relay.isSilent = true
+        SoakFault.DELAY_LOG -> cluster.relay.delayMillis = DELAY_MILLIS
+        SoakFault.RESET_LOG -> cluster.relay.reset()
+        SoakFault.LOG_OUTAGE -> cluster.post(cluster.log, "/faults", "{\"outage\":true}")
+        SoakFault.SLOW_LOG -> cluster.post(cluster.log, "/faults", "{\"slowMillis\":400}")
+        SoakFault.LOSE_LOG_ANSWERS -> cluster.post(cluster.log, "/faults", "{\"loseAnswersPermille\":400}")
+        SoakFault.CUT_DOMAINS -> tolerant { cutDomains(cluster) }
+    }
+
+    private fun end(
+        cluster: FaultCluster,
+        step: SoakStep,
+        node: DemoNode,
+    ) = when (step.fault) {
+        SoakFault.KILL -> cluster.restart(node)
+        SoakFault.PLANNED_STOP -> restartAfterStop(cluster, node)
+        SoakFault.PAUSE -> cluster.signal(node, "CONT")
+        SoakFault.FREEZE_TARGET, SoakFault.TRUNCATE_ANSWERS -> cluster.post(node.target, "/faults", NO_TARGET_FAULTS)
+        SoakFault.CUT_LOG -> cluster.relay.isCut = false
+        SoakFault.SILENCE_LOG -> cluster.relay.isSilent = false
+        SoakFault.DELAY_LOG -> cluster.relay.delayMillis = 0
+        SoakFault.RESET_LOG -> Unit
+        SoakFault.LOG_OUTAGE -> cluster.post(cluster.log, "/faults", "{\"outage\":false}")
+        SoakFault.SLOW_LOG -> cluster.post(cluster.log, "/faults", "{\"slowMillis\":0}")
+        SoakFault.LOSE_LOG_ANSWERS -> cluster.post(cluster.log, "/faults", "{\"loseAnswersPermille\":0}")
+        SoakFault.CUT_DOMAINS -> tolerant { joinDomains(cluster) }
+    }
+
+    private fun restartAfterStop(
+        cluster: FaultCluster,
+        node: DemoNode,
+    ) {
+        val process = node.child.process
+        if (!process.waitFor(STOP_SECONDS, TimeUnit.SECONDS)) throw StepBroken("${node.settings.node} did not stop")
+        if (process.exitValue() != 0) throw StepBroken("${node.settings.node} stopped with ${process.exitValue()}")
+        cluster.restart(node)
+    }
+
+    /** Nodes that are down or paused take no orders; a restarted one drops nothing. */
+    private fun tolerant(order: () -> Unit) {
+        runCatching(order).onFailure { say("not all nodes were told: ${it.message}") }
+    }
+
+    private fun judge(
+        seed: Long,
+        cluster: FaultCluster,
+        load: LoadGenerator,
+        operator: SoakOperator,
+        watch: VersionWatch,
+    ): SoakResult =
+        try {
+            tolerant { joinDomains(cluster) }
+            val agrees = cluster.awaitAgreement(System.currentTimeMillis() + AGREEMENT_MILLIS)
+            if (!agrees) throw StepBroken("the nodes did not agree within $AGREEMENT_MILLIS ms after the last fault")
+            if (watch.stepsBack.isNotEmpty()) throw StepBroken("went back: ${watch.stepsBack}")
+            val published = operator.judge(cluster.status(cluster.healthy.first())?.version)
+            SoakResult(seed, true, judgeCalls(load.records, executions(cluster)) + ", $published")
+        } catch (e: StepBroken) {
+            SoakResult(seed, false, e.message.orEmpty())
+        }
+
+    private companion object {
+        const val DELAY_MILLIS = 120L
+        val ROUTES =
+            listOf(
+                LoadRoute("/s/look", "s", 60),
+                LoadRoute("/once/keyed", "s", 20, isOnce = true, hasKey = true),
+                LoadRoute("/once/plain", "s", 20, isOnce = true),
+            )
+    }
+}
