--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
@@ -83,9 +83,9 @@
         headers.set(MeshHeaders.CALL, callId)
         headers.set(MeshHeaders.DEADLINE, deadlineMillis - node.settings.hopMarginMillis)
         if (node.settings.sendsTimeLeft) {
-            val margin = node.settings.hopMarginMillis + node.nowMillis()
-            headers.set(MeshHeaders.TIME_LEFT, deadlineMillis - margin)
-            headers.set(MeshHeaders.USEFUL_LEFT, deadlines.usefulMillis - margin)
+            val startMillis = node.nowMillis() + node.settings.hopMarginMillis
+            headers.set(MeshHeaders.TIME_LEFT, deadlineMillis - startMillis)
+            headers.set(MeshHeaders.USEFUL_LEFT, deadlines.usefulMillis - startMillis)
         }
         // An attempt at the own target has taken this header out for the target.
         node.settings.callerService?.let { headers.set(MeshHeaders.CALLER, it.value) }
