--- a/cli/src/main/kotlin/dev/baobabhollow/cli/faults/Soak.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/faults/Soak.kt
@@ -49,14 +49,15 @@
             watch.start()
             load.start()
             operator.start()
-            val broken = brokenStep { play(cluster, plan) }
+            val playFailure = brokenStep { play(cluster, plan) }
             operator.stop()
             load.stop()
-            val broke = broken ?: brokenStep { seen = judge(cluster, load, operator, watch) }
+            val failure = playFailure ?: brokenStep { seen = judge(cluster, load, operator, watch) }
             watch.close()
-            SoakResult(seed, broke == null, broke ?: seen)
+            SoakResult(seed, failure == null, failure ?: seen)
         }
 
+    /** Returns which promise [check] found broken, or null. */
     private fun brokenStep(check: () -> Unit): String? =
         try {
             check()
