--- a/peers/src/test/kotlin/dev/baobabhollow/peers/TestFleet.kt
+++ b/peers/src/test/kotlin/dev/baobabhollow/peers/TestFleet.kt
@@ -24,6 +24,8 @@
 import io.kotest.assertions.nondeterministic.eventually
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.prometheus.metrics.model.snapshots.CounterSnapshot
+import java.io.IOException
+import java.net.DatagramSocket
 import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.util.Collections
@@ -134,7 +136,20 @@
 
         fun putMember(number: Long) = Change.PutMember(MemberId("member-$number"), MemberConfig("Member $number"))
 
-        private fun freePort(): Int = ServerSocket().use { it.bind(InetSocketAddress(HOST, 0)).run { it.localPort } }
+        /** Ports below those that the system gives to outgoing connections, so that no other process gets one meanwhile. */
+        private val PORTS = 10_000 until 32_000
+
+        /** Returns a port that is free for TCP and UDP; control planes bind both. */
+        private fun freePort(): Int = generateSequence { PORTS.random() }.first(::isFree)
+
+        private fun isFree(port: Int): Boolean =
+            try {
+                ServerSocket().use { it.bind(InetSocketAddress(HOST, port)) }
+                DatagramSocket(InetSocketAddress(HOST, port)).close()
+                true
+            } catch (_: IOException) {
+                false
+            }
     }
 }
 
