Read each head once, and let one piece of code serve its twins

- A request's caller headers were read twice (FrontHandler, EntryPort) and an answer's three times (twice in UpstreamCall, TargetCall); each is read once.
- CallDeadlines.of replaces two copies of the bound on the useful time.
- ReleaseTargets.isLocal compares domains instead of searching the list for each candidate of each call.
- OrderedMoves built the state after a stage in two places; whether a move is ordered follows from its proposed stage.
- FreePorts moves to the stand-ins; TestFleet had a copy of it, and PeerFleet reserved TCP ports only, for control planes that bind UDP as well.
- SoakFault holds how a fault begins and ends, which two parallel lists did.

--- a/bench/src/main/kotlin/dev/baobabhollow/bench/distribution/PeerFleet.kt
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/distribution/PeerFleet.kt
@@ -15,10 +15,9 @@
 import dev.baobabhollow.peers.ControlPlane
 import dev.baobabhollow.peers.ControlPlaneSettings
 import dev.baobabhollow.platformlog.HttpPlatformLog
+import dev.baobabhollow.standins.FreePorts
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.prometheus.metrics.model.snapshots.CounterSnapshot
-import java.net.InetSocketAddress
-import java.net.ServerSocket
 import java.util.SplittableRandom
 import java.util.concurrent.atomic.AtomicLong
 
@@ -104,10 +103,9 @@
         const val SLOTS = 12
         const val CONNECTIONS = 100
 
-        /** Holds all sockets open until every port is known, so that no port is given twice. */
         fun freeEndpoints(count: Int): List<Endpoint> {
-            val sockets = List(count) { ServerSocket().apply { bind(InetSocketAddress(HOST, 0)) } }
-            return sockets.map { socket -> socket.use { Endpoint(HOST, it.localPort) } }
+            val ports = FreePorts()
+            return List(count) { Endpoint(HOST, ports.next()) }
         }
     }
 }
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
@@ -239,6 +239,9 @@
 ) {
     /** Targets of all failure domains. */
     val all: List<TargetEndpoint> = local + remote
+
+    /** Tells whether [target], one of these, is in the node's own failure domain. */
+    fun isLocal(target: TargetEndpoint): Boolean = target.failureDomain == local.firstOrNull()?.failureDomain
 }
 
 /** Holds what an entry node needs to send a call to the owner of a target. */
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/TargetPicker.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/TargetPicker.kt
@@ -98,11 +98,11 @@
             untried.filter { !it.isSuspect && outliers.isUsable(it.node, nowMillis) && !isSilent(it, nowMillis) }
         val candidates = usable.ifEmpty { untried }
         val compared =
-            sample(candidates.filter { isLocal(it, targets) }, LOCAL_SAMPLE, random)
+            sample(candidates.filter(targets::isLocal), LOCAL_SAMPLE, random)
                 .plus(sample(candidates, COMPARED, random))
         val chosen =
             compared.minByOrNull { target ->
-                val distance = if (isLocal(target, targets)) 0L else remoteMicros
+                val distance = if (targets.isLocal(target)) 0L else remoteMicros
                 (expectedMicros(target, nowMillis) + distance) * (1 + random.nextDouble() * NOISE)
             }
         return chosen?.let { claimed(it, nowMillis) }
@@ -114,11 +114,6 @@
             distance.bodyBytes * settings.remoteMicrosPerKilobyte / KILOBYTE
     }
 
-    private fun isLocal(
-        target: TargetEndpoint,
-        targets: ReleaseTargets,
-    ) = targets.local.any { it.node == target.node }
-
     private fun isSilent(
         target: TargetEndpoint,
         nowMillis: Long,
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/ExerciseCommand.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/ExerciseCommand.kt
@@ -24,6 +24,7 @@
 import dev.baobabhollow.platformlog.HttpPlatformLog
 import dev.baobabhollow.platformlog.LogAnswer
 import dev.baobabhollow.platformlog.LogHttpClient
+import dev.baobabhollow.standins.FreePorts
 import dev.baobabhollow.standins.StandInLog
 import dev.baobabhollow.standins.StandInTarget
 import io.netty.handler.codec.http.HttpMethod
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/demo/DemoFleet.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/demo/DemoFleet.kt
@@ -2,7 +2,6 @@
 
 import dev.baobabhollow.cli.Child
 import dev.baobabhollow.cli.Children
-import dev.baobabhollow.cli.FreePorts
 import dev.baobabhollow.model.Endpoint
 import dev.baobabhollow.model.FailureDomainId
 import dev.baobabhollow.model.MemberId
@@ -14,6 +13,7 @@
 import dev.baobabhollow.node.MovePolicySettings
 import dev.baobabhollow.node.NodeSettings
 import dev.baobabhollow.node.TargetSettings
+import dev.baobabhollow.standins.FreePorts
 import dev.baobabhollow.standins.StandInTargetOptions
 import dev.baobabhollow.standins.TargetFaults
 import kotlinx.serialization.encodeToString
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/faults/Soak.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/faults/Soak.kt
@@ -93,60 +93,39 @@
         cluster: FaultCluster,
         step: SoakStep,
         node: DemoNode,
-    ) = when (step.fault) {
-        SoakFault.KILL -> cluster.kill(node)
-        SoakFault.PLANNED_STOP -> stop(cluster, node)
-        SoakFault.PAUSE -> cluster.signal(node, "STOP")
-        SoakFault.FREEZE_TARGET -> cluster.post(node.target, "/faults", "{\"freeze\":true}")
-        SoakFault.TRUNCATE_ANSWERS -> cluster.post(node.target, "/faults", "{\"truncatePermille\":400}")
-        SoakFault.CUT_LOG -> cluster.relay.isCut = true
-        SoakFault.SILENCE_LOG -> cluster.relay.isSilent = true
-        SoakFault.DELAY_LOG -> cluster.relay.delayMillis = DELAY_MILLIS
-        SoakFault.RESET_LOG -> cluster.relay.reset()
-        SoakFault.LOG_OUTAGE -> cluster.post(cluster.log, "/faults", "{\"outage\":true}")
-        SoakFault.SLOW_LOG -> cluster.post(cluster.log, "/faults", "{\"slowMillis\":400}")
-        SoakFault.LOSE_LOG_ANSWERS -> cluster.post(cluster.log, "/faults", "{\"loseAnswersPermille\":400}")
-        SoakFault.CUT_DOMAINS -> tolerant { cutDomains(cluster) }
+    ) {
+        if (step.fault == SoakFault.PLANNED_STOP) noteIfStarting(cluster, node)
+        play(step) { step.fault.begin(cluster, node) }
     }
 
     private fun end(
         cluster: FaultCluster,
         step: SoakStep,
         node: DemoNode,
-    ) = when (step.fault) {
-        SoakFault.KILL -> cluster.restart(node)
-        SoakFault.PLANNED_STOP -> restartAfterStop(cluster, node)
-        SoakFault.PAUSE -> cluster.signal(node, "CONT")
-        SoakFault.FREEZE_TARGET, SoakFault.TRUNCATE_ANSWERS -> cluster.post(node.target, "/faults", NO_TARGET_FAULTS)
-        SoakFault.CUT_LOG -> cluster.relay.isCut = false
-        SoakFault.SILENCE_LOG -> cluster.relay.isSilent = false
-        SoakFault.DELAY_LOG -> cluster.relay.delayMillis = 0
-        SoakFault.RESET_LOG -> Unit
-        SoakFault.LOG_OUTAGE -> cluster.post(cluster.log, "/faults", "{\"outage\":false}")
-        SoakFault.SLOW_LOG -> cluster.post(cluster.log, "/faults", "{\"slowMillis\":0}")
-        SoakFault.LOSE_LOG_ANSWERS -> cluster.post(cluster.log, "/faults", "{\"loseAnswersPermille\":0}")
-        SoakFault.CUT_DOMAINS -> tolerant { joinDomains(cluster) }
+    ) {
+        if (step.fault == SoakFault.PLANNED_STOP) awaitStop(node)
+        play(step) { step.fault.end(cluster, node) }
     }
 
+    private fun play(
+        step: SoakStep,
+        action: () -> Unit,
+    ) = if (step.fault == SoakFault.CUT_DOMAINS) tolerant(action) else action()
+
     /** A process that is still starting has nothing to finish, and ends by the signal. */
-    private fun stop(
+    private fun noteIfStarting(
         cluster: FaultCluster,
         node: DemoNode,
     ) {
         if (cluster.status(node) == null) startingNodes += node.child.process.pid()
-        cluster.signal(node, "TERM")
     }
 
-    private fun restartAfterStop(
-        cluster: FaultCluster,
-        node: DemoNode,
-    ) {
+    private fun awaitStop(node: DemoNode) {
         val process = node.child.process
         if (!process.waitFor(STOP_SECONDS, TimeUnit.SECONDS)) throw StepBroken("${node.settings.node} did not stop")
         val exit = process.exitValue()
         val isEndedBySignal = exit == ENDED_BY_SIGTERM && process.pid() in startingNodes
         if (exit != 0 && !isEndedBySignal) throw StepBroken("${node.settings.node} stopped with $exit")
-        cluster.restart(node)
     }
 
     /** Nodes that are down or paused take no orders; a restarted one drops nothing. */
@@ -169,7 +148,6 @@
     }
 
     private companion object {
-        const val DELAY_MILLIS = 120L
         const val ENDED_BY_SIGTERM = 143
         val ROUTES =
             listOf(
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/faults/SoakPlan.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/faults/SoakPlan.kt
@@ -1,29 +1,60 @@
 package dev.baobabhollow.cli.faults
 
+import dev.baobabhollow.cli.demo.DemoNode
 import kotlin.random.Random
 
-/** Names what a soak does to processes and connections from outside. */
+/** Names what a soak does to processes and connections from outside, and how each of it begins and ends at a node. */
 internal enum class SoakFault(
+    val begin: (FaultCluster, DemoNode) -> Unit,
+    val end: (FaultCluster, DemoNode) -> Unit,
     /** True if the fault hits the process of one node. */
     val hitsNode: Boolean = false,
     /** True if the process starts anew, with an empty memory. */
     val restarts: Boolean = false,
 ) {
-    KILL(hitsNode = true, restarts = true),
-    PLANNED_STOP(hitsNode = true, restarts = true),
-    PAUSE(hitsNode = true),
-    FREEZE_TARGET(hitsNode = true),
-    TRUNCATE_ANSWERS(hitsNode = true),
-    CUT_LOG,
-    SILENCE_LOG,
-    DELAY_LOG,
-    RESET_LOG,
-    LOG_OUTAGE,
-    SLOW_LOG,
-    LOSE_LOG_ANSWERS,
-    CUT_DOMAINS,
+    KILL({
+        cluster,
+        node,
+        ->
+        cluster.kill(node)
+    }, { cluster, node -> cluster.restart(node) }, hitsNode = true, restarts = true),
+
+    /** Ends with the exit of the process, which [Soak] waits for. */
+    PLANNED_STOP(
+        { cluster, node -> cluster.signal(node, "TERM") },
+        { cluster, node -> cluster.restart(node) },
+        hitsNode = true,
+        restarts = true,
+    ),
+    PAUSE(
+        { cluster, node -> cluster.signal(node, "STOP") },
+        { cluster, node -> cluster.signal(node, "CONT") },
+        hitsNode = true,
+    ),
+    FREEZE_TARGET(atTarget("{\"freeze\":true}"), atTarget(NO_TARGET_FAULTS), hitsNode = true),
+    TRUNCATE_ANSWERS(atTarget("{\"truncatePermille\":400}"), atTarget(NO_TARGET_FAULTS), hitsNode = true),
+    CUT_LOG({ cluster, _ -> cluster.relay.isCut = true }, { cluster, _ -> cluster.relay.isCut = false }),
+    SILENCE_LOG({ cluster, _ -> cluster.relay.isSilent = true }, { cluster, _ -> cluster.relay.isSilent = false }),
+    DELAY_LOG(
+        { cluster, _ -> cluster.relay.delayMillis = LOG_DELAY_MILLIS },
+        { cluster, _ -> cluster.relay.delayMillis = 0 },
+    ),
+    RESET_LOG({ cluster, _ -> cluster.relay.reset() }, { _, _ -> }),
+    LOG_OUTAGE(atLog("{\"outage\":true}"), atLog("{\"outage\":false}")),
+    SLOW_LOG(atLog("{\"slowMillis\":400}"), atLog("{\"slowMillis\":0}")),
+    LOSE_LOG_ANSWERS(atLog("{\"loseAnswersPermille\":400}"), atLog("{\"loseAnswersPermille\":0}")),
+    CUT_DOMAINS({ cluster, _ -> cutDomains(cluster) }, { cluster, _ -> joinDomains(cluster) }),
 }
 
+private const val LOG_DELAY_MILLIS = 120L
+
+private fun atTarget(faults: String) =
+    { cluster: FaultCluster, node: DemoNode -> cluster.post(node.target, "/faults", faults) }
+
+/** Changes only the named faults, because others of the log may last. */
+private fun atLog(faults: String) =
+    { cluster: FaultCluster, _: DemoNode -> cluster.post(cluster.log, "/faults", faults) }
+
 /** Lets [fault] last from [startMillis] until [endMillis] of the soak, at the node of that index if it hits one. */
 internal data class SoakStep(
     val fault: SoakFault,
--- a/moves/src/main/kotlin/dev/baobabhollow/moves/ShortMoveJudge.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/ShortMoveJudge.kt
@@ -83,7 +83,7 @@
         val isNew = summary.release == move.plan.to
         if (!seen.add(listOf(summary.node, summary.route, summary.release, summary.endsAtMillis))) return
         val outcomes = routes.getOrPut(summary.route) { RouteOutcomes() }
-        if (!isNew) noteReference(outcomes, summary)
+        if (!isNew) readLatencies(summary) { outcomes.oldLatency.mergeEncoded(summary.latency) }
         count(if (isNew) outcomes.new else outcomes.old, summary, outcomes.oldLatency)
     }
 
@@ -128,17 +128,18 @@
 
     private fun finish() = MoveDecision.Finish("no fault in ${newCalls()} calls", evidence(""))
 
-    private fun noteReference(
-        outcomes: RouteOutcomes,
+    /** Reads latencies of [summary] and tells whether they could be read; its errors count in any case. */
+    private fun readLatencies(
         summary: OutcomeSummary,
-    ) {
+        read: () -> Unit,
+    ): Boolean =
         try {
-            outcomes.oldLatency.mergeEncoded(summary.latency)
+            read()
+            true
         } catch (e: IllegalArgumentException) {
-            // The errors of the summary still count.
             LOG.warn("event=latencies_unreadable node={} reason={}", summary.node, e.message)
+            false
         }
-    }
 
     private fun count(
         side: Side,
@@ -149,13 +150,14 @@
         var timed = 0L
         if (reference.count >= MIN_REFERENCE_CALLS) {
             val limit = reference.quantileMicros(MEDIAN) * policy.slowFactor
-            try {
-                LatencyHistogram.forEachEncoded(summary.latency) { micros, occurrences ->
-                    timed += occurrences
-                    if (micros > limit) slow += occurrences
+            val isRead =
+                readLatencies(summary) {
+                    LatencyHistogram.forEachEncoded(summary.latency) { micros, occurrences ->
+                        timed += occurrences
+                        if (micros > limit) slow += occurrences
+                    }
                 }
-            } catch (e: IllegalArgumentException) {
-                LOG.warn("event=latencies_unreadable node={} reason={}", summary.node, e.message)
+            if (!isRead) {
                 slow = 0
                 timed = 0
             }
--- a/node/src/main/kotlin/dev/baobabhollow/node/ChangeLog.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/ChangeLog.kt
@@ -3,6 +3,7 @@
 import dev.baobabhollow.membership.FleetView
 import dev.baobabhollow.model.ConfigurationState
 import dev.baobabhollow.model.MoveId
+import dev.baobabhollow.model.NodeId
 import dev.baobabhollow.model.NodeRecord
 import org.apache.logging.log4j.Level
 
@@ -12,7 +13,7 @@
  */
 internal class ChangeLog {
     private var state = ConfigurationState.INITIAL
-    private var nodes: Map<String, String> = emptyMap()
+    private var nodes: Map<NodeId, NodeRecord> = emptyMap()
     private var held: Set<MoveId> = emptySet()
 
     /** Compares with what was noted last and logs the differences. */
@@ -47,15 +48,18 @@
         }
 
     private fun noteNodes(view: FleetView) {
-        val next = view.nodes.values.associate { it.node.value to describe(it) }
-        val changed = next.filter { (node, text) -> nodes[node] != text }
-        nodes = next
-        changed.entries.take(MAX_LINES).forEach { (node, text) ->
-            EventLog.write("node_seen", "other" to node, "record" to text)
-        }
+        val changed = view.nodes.values.filter { isNews(it, nodes[it.node]) }
+        nodes = view.nodes
+        changed.take(MAX_LINES).forEach { EventLog.write("node_seen", "other" to it.node, "record" to describe(it)) }
         if (changed.size > MAX_LINES) EventLog.write("nodes_seen", "others" to changed.size - MAX_LINES)
     }
 
+    /** Most records are the same as before, and the others can differ in what no line shows. */
+    private fun isNews(
+        record: NodeRecord,
+        before: NodeRecord?,
+    ) = record !== before && (before == null || describe(record) != describe(before))
+
     private fun describe(record: NodeRecord): String {
         val target = record.target
         val service = target?.let { "${it.service} ${it.release} ${it.instance} ${it.status}" }
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlCore.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlCore.kt
@@ -109,15 +109,12 @@
         chosen.forEach { outbox.send(OutgoingMessage(it.controlEndpoint, message), position, alerts, stages) }
     }
 
-    fun isOrdered(move: MoveId): Boolean = ordered.isOrdered(move)
-
     /**
      * Puts [record] of an ordered move in force at once unless it is final, which the log decides. Returns null for moves
      * whose stages are records of the configuration stream.
      */
     fun takeOrderedStage(record: MoveStageRecord): OrderedStage? {
-        if (!ordered.isOrdered(record.move)) return null
-        val proposed = ordered.proposed(record)
+        val proposed = ordered.proposed(record) ?: return null
         if (!record.phase.isFinal) ordered.apply(record)?.let { spread(emptyList(), listOf(it)) }
         return proposed
     }
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlane.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlane.kt
@@ -132,8 +132,8 @@
     }
 
     private fun appendStage(record: MoveStageRecord): Boolean {
-        val isOrdered = core.isOrdered(record.move)
         val stage = core.takeOrderedStage(record)
+        val isOrdered = stage != null
         // Operators only read the first stage and the final one of an ordered move.
         if (isOrdered && !record.phase.isFinal && record.follows > 0) return true
         return writer.offer(AppendRequest(record, stage = stage) { isWanted(record, isOrdered) })
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/OrderedMoves.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/OrderedMoves.kt
@@ -39,23 +39,11 @@
         return result
     }
 
-    /** Tells whether [move] is an ordered one. */
-    fun isOrdered(move: MoveId): Boolean = move in moves
-
     /** Applies [record], or returns null if it does not follow the present stage. */
     fun apply(record: MoveStageRecord): OrderedStage? {
         val before = moves[record.move] ?: return null
         if (before.phase.isFinal || before.stage != record.follows) return null
-        val next =
-            before.copy(
-                stage = before.stage + 1,
-                phase = record.phase,
-                sharePermille = record.sharePermille,
-                reason = record.reason,
-                evidence = record.evidence,
-                stageAtMillis = clock(),
-                fullShareAtMillis = if (record.phase == MovePhase.WATCHING) clock() else before.fullShareAtMillis,
-            )
+        val next = after(before, record)
         put(record.move, next)
         return stageOf(record.move, next)
     }
@@ -97,12 +85,22 @@
         return List(minOf(STAGES_PER_DATAGRAM, decided.size)) { decided[(turn + it) % decided.size] }
     }
 
-    /** Returns the stage that [record] proposes, for the log. */
-    fun proposed(record: MoveStageRecord): OrderedStage? {
-        val move = moves[record.move] ?: return null
-        val next = move.copy(stage = record.follows + 1, phase = record.phase, sharePermille = record.sharePermille)
-        return stageOf(record.move, next.copy(reason = record.reason))
-    }
+    /** Returns the stage that [record] proposes, for the log, or null if its move is not an ordered one. */
+    fun proposed(record: MoveStageRecord): OrderedStage? =
+        moves[record.move]?.let { stageOf(record.move, after(it, record)) }
+
+    private fun after(
+        move: MoveState,
+        record: MoveStageRecord,
+    ) = move.copy(
+        stage = record.follows + 1,
+        phase = record.phase,
+        sharePermille = record.sharePermille,
+        reason = record.reason,
+        evidence = record.evidence,
+        stageAtMillis = clock(),
+        fullShareAtMillis = if (record.phase == MovePhase.WATCHING) clock() else move.fullShareAtMillis,
+    )
 
     private fun follow(orders: Map<ServiceId, MoveOrder>) {
         orders.forEach { (service, order) ->
--- a/peers/src/test/kotlin/dev/baobabhollow/peers/TestFleet.kt
+++ b/peers/src/test/kotlin/dev/baobabhollow/peers/TestFleet.kt
@@ -21,13 +21,10 @@
 import dev.baobabhollow.model.WriterId
 import dev.baobabhollow.moves.MoveDecision
 import dev.baobabhollow.moves.MoveJudge
+import dev.baobabhollow.standins.FreePorts
 import io.kotest.assertions.nondeterministic.eventually
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.prometheus.metrics.model.snapshots.CounterSnapshot
-import java.io.IOException
-import java.net.DatagramSocket
-import java.net.InetSocketAddress
-import java.net.ServerSocket
 import java.util.Collections
 import java.util.SplittableRandom
 import java.util.concurrent.ConcurrentHashMap
@@ -47,7 +44,7 @@
     val nodes = LinkedHashMap<NodeId, TestNode>()
     private val endpoints = LinkedHashMap<NodeId, Endpoint>()
 
-    fun reserve(vararg names: String) = names.forEach { endpoints[NodeId(it)] = Endpoint(HOST, freePort()) }
+    fun reserve(vararg names: String) = names.forEach { endpoints[NodeId(it)] = Endpoint(HOST, PORTS.next()) }
 
     /** Starts the node [name], whose failure domain is the part before the dash. */
     fun start(
@@ -136,20 +133,7 @@
 
         fun putMember(number: Long) = Change.PutMember(MemberId("member-$number"), MemberConfig("Member $number"))
 
-        /** Ports below those that the system gives to outgoing connections, so that no other process gets one meanwhile. */
-        private val PORTS = 10_000 until 32_000
-
-        /** Returns a port that is free for TCP and UDP; control planes bind both. */
-        private fun freePort(): Int = generateSequence { PORTS.random() }.first(::isFree)
-
-        private fun isFree(port: Int): Boolean =
-            try {
-                ServerSocket().use { it.bind(InetSocketAddress(HOST, port)) }
-                DatagramSocket(InetSocketAddress(HOST, port)).close()
-                true
-            } catch (_: IOException) {
-                false
-            }
+        private val PORTS = FreePorts()
     }
 }
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
@@ -18,7 +18,16 @@
 internal data class CallDeadlines(
     val lastMillis: Long,
     val usefulMillis: Long,
-)
+) {
+    companion object {
+        /** Returns the deadlines of a call whose answer is worth most for [usefulLeftMillis] from now on, if that is known. */
+        fun of(
+            nowMillis: Long,
+            lastMillis: Long,
+            usefulLeftMillis: Long?,
+        ) = CallDeadlines(lastMillis, usefulLeftMillis?.let { minOf(nowMillis + it, lastMillis) } ?: lastMillis)
+    }
+}
 
 /** Forwards a call to the owner of a target and, where the rules allow it, sends it again to another one. */
 internal class EntryExchange(
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
@@ -50,7 +50,7 @@
         val now = node.nowMillis()
         val headers = head.headers()
         val clamp = now + route.config.timeoutMillis
-        val caller = node.settings.protocol.readCaller(headers, now)
+        val caller = front.caller
         val deadline = (caller.deadlineMillis ?: clamp).coerceAtMost(clamp)
         if (now >= deadline) return refused(front, CallFailure.deadlinePassed(mayHaveRun = false))
         if (HttpUtil.getContentLength(head, 0L) > maxBodyBytes(table)) {
@@ -71,21 +71,19 @@
         headers.remove(HttpHeaderNames.EXPECT)
         headers.remove(MeshHeaders.OUTCOME)
         headers.set(MeshHeaders.HOP, hop)
-        val deadlines = CallDeadlines(deadline, usefulUntil(route, caller, now, deadline))
+        val deadlines = CallDeadlines.of(now, deadline, usefulLeftMillis(route, caller, now))
         return start(front, deadlines, head, route, keyOwner, caller.callId)
     }
 
     /** An answer is worth most for some time after the caller's first attempt, which may have been refused. */
-    private fun usefulUntil(
+    private fun usefulLeftMillis(
         route: Route,
         caller: CallerFacts,
         nowMillis: Long,
-        deadlineMillis: Long,
-    ): Long {
+    ): Long? {
         val stated = caller.deadlineMillis?.takeIf { node.settings.learnsPatience }
         val age = stated?.let { node.patience.ageMillis(route.id, it - nowMillis) } ?: 0
-        val usefulUntil = route.config.targetLatencyMillis?.let { nowMillis + it - age } ?: deadlineMillis
-        return minOf(usefulUntil, deadlineMillis)
+        return route.config.targetLatencyMillis?.let { it - age }
     }
 
     private fun start(
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/FrontHandler.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/FrontHandler.kt
@@ -41,7 +41,10 @@
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
     private var exchange: Exchange? = null
-    private var callId: String? = null
+
+    /** What the caller of the present request states. */
+    var caller = CallerFacts(callId = null, deadlineMillis = null)
+        private set
     private val pipelined = ArrayDeque<Any>(0)
     private var isRequestDone = true
     private var isKeptAlive = true
@@ -88,7 +91,7 @@
         isAnswering = false
         isKeptAlive = HttpUtil.isKeepAlive(head)
         encoder.method = head.method()
-        callId = protocol.readCaller(head.headers(), node.nowMillis()).callId
+        caller = protocol.readCaller(head.headers(), node.nowMillis())
         node.exchangeStarted()
         exchange = PENDING
         val opened = open(this, head)
@@ -162,7 +165,7 @@
         if (isAnswering) return closeAbruptly()
         if (failure.status.code() < SERVER_ERRORS && !isRequestDone) isKeptAlive = false
         val body = failureBody(failure)
-        answerHead(failureHead(failure, body.content().readableBytes(), callId, protocol))
+        answerHead(failureHead(failure, body.content().readableBytes(), caller.callId, protocol))
         answerBody(body)
     }
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/OwnerExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/OwnerExchange.kt
@@ -4,7 +4,6 @@
 import dev.baobabhollow.model.ReleaseId
 import dev.baobabhollow.model.RouteId
 import dev.baobabhollow.model.UNKNOWN_RELEASE
-import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 
@@ -67,20 +66,11 @@
         val callId = headers.get(MeshHeaders.CALL) ?: node.newCallId()
         if (isKeyRequest(head)) return refused(front) { answerKey(node, front) }
         headers.remove(MeshHeaders.ROUTE)
-        val deadlines = CallDeadlines(deadline, usefulUntil(headers, route, now, deadline))
+        val usefulLeft = headers.get(MeshHeaders.USEFUL_LEFT)?.toLongOrNull() ?: route.config.targetLatencyMillis
+        val deadlines = CallDeadlines.of(now, deadline, usefulLeft)
         return OwnerExchange(node, front, deadlines, callId).also { it.start(head, route, target.release) }
     }
 
-    private fun usefulUntil(
-        headers: HttpHeaders,
-        route: Route,
-        nowMillis: Long,
-        deadlineMillis: Long,
-    ): Long {
-        val stated = headers.get(MeshHeaders.USEFUL_LEFT)?.toLongOrNull() ?: route.config.targetLatencyMillis
-        return minOf(stated?.let { nowMillis + it } ?: deadlineMillis, deadlineMillis)
-    }
-
     /** An entry node that chose the target before its release was known may have it all the same while nothing moves. */
     private fun isAnyRelease(
         release: ReleaseId?,
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
@@ -206,7 +206,7 @@
 
     override fun onAnswerHead(head: HttpResponse) {
         val code = head.status().code()
-        val facts = node.settings.protocol.readAnswer(head)
+        val facts = checkNotNull(upstream).answer
         if (facts.isNotRun) return onRefusedByTarget(facts)
         result = resultOf(code)
         if (!HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head)) {
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamCall.kt
@@ -110,15 +110,17 @@
         connection?.setReading(true)
     }
 
-    /** Tells whether [head] can be the answer to this call. */
+    /** What the head of the latest answer states. */
+    var answer = AnswerFacts(callId = null)
+        private set
+
+    /** Reads [head] and tells whether it can be that of the answer to this call. */
     fun accepts(head: HttpResponse): Boolean {
-        val echoed = protocol.readAnswer(head).callId ?: return true
+        answer = protocol.readAnswer(head)
+        val echoed = answer.callId ?: return true
         return echoed == callId
     }
 
-    /** Tells whether [head] bears what every answer of a target bears. */
-    fun isGenuine(head: HttpResponse): Boolean = protocol.readAnswer(head).isGenuine
-
     /** True if an answer to another call may be dropped while the one to this call is awaited. */
     val skipsForeignAnswers: Boolean get() = protocol.skipsForeignAnswers
 
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/FreePorts.kt
+++ b/standins/src/main/kotlin/dev/baobabhollow/standins/FreePorts.kt
@@ -1,4 +1,4 @@
-package dev.baobabhollow.cli
+package dev.baobabhollow.standins
 
 import java.io.IOException
 import java.net.DatagramSocket
@@ -10,7 +10,7 @@
  * Finds ports on loopback that no process uses. Stays below the range from which Linux picks ports of outgoing connections,
  * so that no connection takes a port between the check and its use.
  */
-internal class FreePorts(
+class FreePorts(
     private val random: Random = Random(ProcessHandle.current().pid()),
 ) {
     private val given = HashSet<Int>()
