Log where a configuration came from, who reads the log, and which version gave a 404

The logs could not tell apart the hypotheses on the late configuration: a refusal without a route left no line, and neither the source of a version, nor its confirmation, nor the start and stop of log reading were logged. No decision changes.

--- a/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
@@ -62,6 +62,7 @@
         if (theirs.offset < position.offset || !theirs.isConfirmed) return
         if (ahead == null && !isPulling) {
             nextPullAtMillis = maxOf(nextPullAtMillis, nowMillis + random.nextLong(settings.pullJitterMillis + 1))
+            LOG.info("event=peer_ahead peer={} peer_offset={} offset={}", endpoint, theirs.offset, position.offset)
         }
         ahead = endpoint
     }
@@ -100,15 +101,24 @@
     ) {
         isPulling = false
         ahead = null
-        when (val body = answer.fold({ it.body }, { null })) {
-            is Push -> takePulled { take(body.batch, view) }
-            is WholeState -> takePulled { take(body.transfer) }
+        val body = answer.fold({ it.body }) { return noteFailedPull(it, nowMillis) }
+        when (body) {
+            is Push -> takePulled { take(body.batch, view, Origin.PEER) }
+            is WholeState -> takePulled { take(body.transfer, Origin.PEER) }
             is NothingNew -> takeNothingNew(body, nowMillis)
             is Refused -> waitAfterRefusal(body, nowMillis)
-            else -> nextPullAtMillis = nowMillis + backoff.nextMillis()
+            else -> noteFailedPull("unexpected answer ${body::class.simpleName}", nowMillis)
         }
     }
 
+    private fun noteFailedPull(
+        reason: Any,
+        nowMillis: Long,
+    ) {
+        nextPullAtMillis = nowMillis + backoff.nextMillis()
+        LOG.warn("event=pull_failed offset={} reason={}", position.offset, reason)
+    }
+
     /** Only nodes whose state is confirmed answer pulls with content. */
     private fun takePulled(take: () -> Unit) {
         val before = position.offset
@@ -152,27 +162,27 @@
         batch: LogBatch,
         view: FleetView,
     ) {
-        if (batch.entries.isNotEmpty()) take(RecordBatch(afterOffset, batch.entries), view, isLogReader = true)
+        if (batch.entries.isNotEmpty()) take(RecordBatch(afterOffset, batch.entries), view, Origin.LOG)
         if (position.offset + 1 >= batch.nextOffset) confirm()
     }
 
     fun takeLogState(state: ConfigurationState) {
-        if (state.offset > position.offset) take(StateTransfer(state, contentHash(state)))
+        if (state.offset > position.offset) take(StateTransfer(state, contentHash(state)), Origin.LOG)
         confirm()
     }
 
     private fun take(
         batch: RecordBatch,
         view: FleetView,
-        isLogReader: Boolean = false,
+        origin: Origin,
     ) {
         val before = position.offset
         when (val result = replica.offer(batch)) {
             is OfferResult.Applied -> {
-                moveOn()
+                moveOn(origin)
                 batch.entries.filter { it.offset > before }.forEach(::reportUnreadable)
                 val fresh = RecordBatch(before, batch.entries.filter { it.offset > before })
-                if (position.isConfirmed) push(fresh, view, isLogReader)
+                if (position.isConfirmed) push(fresh, view, isLogReader = origin == Origin.LOG)
             }
 
             is OfferResult.Rejected -> {
@@ -186,10 +196,13 @@
         }
     }
 
-    private fun take(transfer: StateTransfer) {
+    private fun take(
+        transfer: StateTransfer,
+        origin: Origin,
+    ) {
         when (val result = replica.offer(transfer)) {
             is OfferResult.Applied -> {
-                moveOn()
+                moveOn(origin)
             }
 
             is OfferResult.Rejected -> {
@@ -203,15 +216,26 @@
         }
     }
 
-    private fun moveOn() {
+    private fun moveOn(origin: Origin) {
+        val before = position
         position = Position(state.offset, state.version, contentHash(state), position.isConfirmed)
+        LOG.info(
+            "event=configuration_taken from={} offset={} version={} offset_before={} confirmed={}",
+            origin.text,
+            position.offset,
+            position.version,
+            before.offset,
+            position.isConfirmed,
+        )
         metrics.showPosition(position)
         backoff.reset()
         nextPullAtMillis = 0
     }
 
     private fun confirm() {
-        if (!position.isConfirmed) position = position.copy(isConfirmed = true)
+        if (position.isConfirmed) return
+        position = position.copy(isConfirmed = true)
+        LOG.info("event=configuration_confirmed offset={} version={}", position.offset, position.version)
     }
 
     /** Pushes to random peers, by preference of the own domain; a log reader serves at least one other domain. */
@@ -257,7 +281,7 @@
         push: Push,
         view: FleetView,
     ): FrameBody {
-        take(push.batch, view)
+        take(push.batch, view, Origin.PEER)
         return NothingNew(position)
     }
 
@@ -293,6 +317,14 @@
         LOG.error("the node at {} holds another state at offset {}", endpoint, position.offset)
     }
 
+    /** Says where a configuration came from. */
+    private enum class Origin(
+        val text: String,
+    ) {
+        LOG("log"),
+        PEER("peer"),
+    }
+
     private companion object {
         /** Longer tails cost more than the state and would pass the admission of transfers. */
         const val MAX_DELTA_RECORDS = 64
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/LogDuty.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/LogDuty.kt
@@ -9,6 +9,7 @@
 import dev.baobabhollow.model.LogRecord
 import dev.baobabhollow.model.NodeRecord
 import dev.baobabhollow.model.SnapshotRecord
+import org.apache.logging.log4j.LogManager
 
 /** Decides when this node reads the log and when it writes a snapshot. Belongs to the control thread. */
 internal class LogDuty(
@@ -37,7 +38,9 @@
         uptimeMillis: Long,
         nowMillis: Long,
     ) {
+        val wasActive = isActive
         isActive = shouldRead(view, position, silenceMillis, uptimeMillis)
+        if (isActive != wasActive) logRole(position, silenceMillis)
         follow(position)
         if (isActive && settings.writesSnapshots) writeSnapshotIfDue(state, position, nowMillis)
     }
@@ -73,6 +76,17 @@
         return rankIn(view) < READERS_PER_DOMAIN
     }
 
+    private fun logRole(
+        position: Position,
+        silenceMillis: Long,
+    ) = LOG.info(
+        "event={} rank={} peers_silent_ms={} offset={}",
+        if (isActive) "log_reading_started" else "log_reading_stopped",
+        rank,
+        silenceMillis,
+        position.offset,
+    )
+
     private fun rankIn(view: FleetView): Int {
         if (view.revision == rankRevision) return rank
         rankRevision = view.revision
@@ -99,5 +113,6 @@
 
         /** Bounds the appends of a reader whose snapshots fail or whose clock is wrong. */
         const val SNAPSHOT_PAUSE_MILLIS = 5_000L
+        val LOG = LogManager.getLogger(LogDuty::class.java)
     }
 }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
@@ -28,9 +28,11 @@
         if (node.isDraining) return refused(front, CallFailure.notRun(FailureReason.DRAINING))
         if (!table.isReady) return refused(front, node.absent(FailureReason.NOT_READY))
         node.lagRefusal(front.loop)?.let { return refused(front, it) }
-        val route =
-            table.match(path, host)
-                ?: return refused(front, CallFailure.notRun(FailureReason.NO_ROUTE, HttpResponseStatus.NOT_FOUND))
+        val route = table.match(path, host)
+        if (route == null) {
+            node.logUnrouted(front.caller.callId, host, path, table.version)
+            return refused(front, CallFailure.notRun(FailureReason.NO_ROUTE, HttpResponseStatus.NOT_FOUND))
+        }
         return forward(front, head, table, route.forCall(ThreadLocalRandom.current().nextDouble()))
     }
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
@@ -164,6 +164,18 @@
             "instance=${self.target?.instance} target_status=${self.target?.status}"
     }
 
+    /** Logs that [version] of the configuration has no route for a call, so that a late version can be told from a wrong path. */
+    fun logUnrouted(
+        callId: String?,
+        host: String?,
+        path: String,
+        version: Long,
+    ) = callLog.write {
+        "event=call_unrouted call=$callId host=$host path=${path.take(
+            MAX_LOGGED_PATH_CHARS,
+        )} version=$version status=404"
+    }
+
     fun logUnexpected(cause: Throwable) {
         LOG.error("event=proxy_unexpected_error", cause)
     }
@@ -176,6 +188,9 @@
         /** Server errors are worth a line, whoever made them. */
         const val FIRST_LOGGED_STATUS = 500
 
+        /** Keeps a line about a call at about the length that [CallLog] is laid out for. */
+        const val MAX_LOGGED_PATH_CHARS = 120
+
         /** Bounds a wait so that a clock that steps back does not prolong it. */
         const val MAX_WAIT_MILLIS = 100L
     }
