Add failing tests of a node that starts on a long history

Callers of a restarted node get 404 for routes that the newest configuration has, and the node reads every version that the store still keeps.

--- a/peers/src/test/kotlin/dev/baobabhollow/peers/DistributionSpec.kt
+++ b/peers/src/test/kotlin/dev/baobabhollow/peers/DistributionSpec.kt
@@ -123,6 +123,17 @@
                     eventually(10.seconds) { node.firstReadyVersion shouldBe 200 }
                 }
             }
+
+            // Guards against calls that are routed by a version which newer ones in the log have replaced.
+            it("publishes no version before the last one") {
+                TestFleet(settings = TestFleet.SETTINGS.copy(maxReadRecords = 7)).use { fleet ->
+                    fleet.reserve("a-1")
+                    repeat(200) { fleet.publish(it.toLong()) }
+                    val node = fleet.start("a-1")
+                    eventually(10.seconds) { node.plane.isReady shouldBe true }
+                    node.versions.filter { it > 0 }.distinct() shouldBe listOf(200L)
+                }
+            }
         }
 
         // Guards against a node that takes calls with an empty configuration.
