Route by no configuration before it is known to be the newest

Cause: a node without a state read the history of the operator's topic from its start, in answers of 1 MB, and published the state after each of them. The flag that says whether the end of the log has been reached only decided about readiness, not about routing. Each answer holds about eight configurations of 120 KB, of which seven are parsed for nothing.

Now the control plane publishes no state before it is confirmed, so calls are refused as not run meanwhile, and a reader that starts or that finds itself behind reads the newest record of each key instead of the history. Stages of moves that could not be read are asked for again at once and no longer after a long poll.

Ruled out: the readers (all read), failed reads (none after 41 s), the storm of versions before the fault (all kept up).

--- a/model/src/main/kotlin/dev/baobabhollow/model/PlatformLog.kt
+++ b/model/src/main/kotlin/dev/baobabhollow/model/PlatformLog.kt
@@ -30,6 +30,17 @@
         waitUntilMillis: Long,
     ): Result<LogBatch, LogError>
 
+    /**
+     * Reads, without waiting, what still counts of the records with offsets above [afterOffset], at most [maxRecords] of
+     * them. A log that keeps the newest record of each key returns only those, so that a reader far behind need not read
+     * the records that they replaced. Other logs return the same as [read].
+     */
+    fun readNewest(
+        stream: StreamName,
+        afterOffset: Long,
+        maxRecords: Int,
+    ): Result<LogBatch, LogError> = read(stream, afterOffset, maxRecords, waitUntilMillis = 0)
+
     /** Returns the stored stages of ordered moves, which lie outside the streams. Logs without orders have none. */
     fun orderedStages(): Result<List<OrderedStage>, LogError> = Ok(emptyList())
 
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlCore.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlCore.kt
@@ -36,7 +36,10 @@
     private var announcedOffset = NO_OFFSET
 
     val view: FleetView get() = membership.view
-    val state: ConfigurationState get() = ordered.mergeInto(dissemination.state)
+
+    /** A state that has not reached the end of the log is an old one, by which no call may be routed. */
+    val state: ConfigurationState
+        get() = if (position.isConfirmed) ordered.mergeInto(dissemination.state) else ConfigurationState.INITIAL
     val position: Position get() = dissemination.position
     val held: Set<MoveId> get() = board.held
 
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/LogReader.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/LogReader.kt
@@ -42,6 +42,9 @@
     private var needsStages = true
     private var isLost = false
 
+    /** True at the start and while the log holds more than the last read has returned. */
+    private var isBehind = true
+
     init {
         isDaemon = true
     }
@@ -74,12 +77,18 @@
     private fun readOnce() {
         if (needsStages) readStages()
         val after = order.offset
-        read(after, clock() + settings.longPollMillis).fold(
+        readAfter(after).fold(
             success = { if (it.earliestOffset > after + 1) recover(it.earliestOffset) else accept(after, it) },
             failure = { handle(it) },
         )
     }
 
+    private fun readAfter(after: Long): Result<LogBatch, LogError> {
+        if (isBehind) return counted(log.readNewest(StreamName.CONFIGURATION, after, settings.maxReadRecords))
+        // Stages that could not be read must not wait for the next record.
+        return read(after, if (needsStages) clock() else clock() + settings.longPollMillis)
+    }
+
     private fun readStages() =
         log.orderedStages().fold(
             success = { needsStages = !post(ControlEvent.StagesRead(it)) },
@@ -93,6 +102,7 @@
         backoff.reset()
         if (isLost) LOG.info("event=log_regained after_offset={} next_offset={}", after, batch.nextOffset)
         isLost = false
+        isBehind = (batch.entries.lastOrNull()?.offset ?: after) + 1 < batch.nextOffset
         hand { ControlEvent.LogRead(after, batch, it) }
     }
 
@@ -135,8 +145,10 @@
     private fun read(
         after: Long,
         waitUntilMillis: Long,
-    ): Result<LogBatch, LogError> {
-        val result = log.read(StreamName.CONFIGURATION, after, settings.maxReadRecords, waitUntilMillis)
+    ): Result<LogBatch, LogError> =
+        counted(log.read(StreamName.CONFIGURATION, after, settings.maxReadRecords, waitUntilMillis))
+
+    private fun counted(result: Result<LogBatch, LogError>): Result<LogBatch, LogError> {
         metrics.countLogCall("read", result.fold({ "ok" }, { it::class.simpleName.orEmpty() }))
         return result
     }
