Tell two nodes of each domain of a new position, and let survivors take over from suspected log readers

A node that does not read the log learns of a new version from datagrams. Each node that took one told its own domain and a single node of all others together, once. While both readers of a domain are dead or cannot reach the log, its other nodes depend on that draw: with six nodes that tell, the last node of a domain of four is missed in 45 % of the cases (by calculation, (7/8)^6), and then waits for a digest or until membership declares a reader dead, a second and a suspicion of four later.

Now each node tells two nodes of every other domain, those that answer probes first, and again 300 ms later. Nodes that are suspected no longer count as log readers.

--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlCore.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlCore.kt
@@ -8,12 +8,10 @@
 import dev.baobabhollow.model.LogError
 import dev.baobabhollow.model.MoveId
 import dev.baobabhollow.model.MoveStageRecord
-import dev.baobabhollow.model.NO_OFFSET
 import dev.baobabhollow.model.NodeRecord
 import dev.baobabhollow.model.NodeStatus
 import dev.baobabhollow.model.OrderedStage
 import dev.baobabhollow.model.OutcomeSummary
-import java.util.random.RandomGenerator
 
 /** Runs the aggregates on the control thread. All times are elapsed milliseconds, which no clock step changes. */
 internal class ControlCore(
@@ -21,7 +19,7 @@
     private val settings: ControlPlaneSettings,
     private val membership: Membership,
     private val outbox: Outbox,
-    private val random: RandomGenerator,
+    private val announcements: Announcements,
     private val dissemination: Dissemination,
     private val board: MoveBoard,
     private val ordered: OrderedMoves,
@@ -33,7 +31,6 @@
     private var startedMillis = 0L
     private var leaving: ControlEvent.LeaveRequested? = null
     private var leftAtMillis = 0L
-    private var announcedOffset = NO_OFFSET
 
     val view: FleetView get() = membership.view
 
@@ -62,7 +59,7 @@
             nowMillis - startedMillis,
             nowMillis,
         )
-        announceRecords()
+        announceRecords(nowMillis)
         metrics.showLiveNodes(view.live().size)
         completeLeave(nowMillis)
     }
@@ -86,15 +83,12 @@
             is ControlEvent.SelfChanged -> changeSelf(event.change, nowMillis)
             is ControlEvent.LeaveRequested -> leave(event, nowMillis)
         }
-        announceRecords()
+        announceRecords(nowMillis)
     }
 
     /** A datagram tells peers the new position, so that those behind pull what they lack. */
-    private fun announceRecords() {
-        if (!settings.announcesRecords || !position.isConfirmed || position.offset <= announcedOffset) return
-        announcedOffset = position.offset
-        spread(emptyList(), emptyList())
-    }
+    private fun announceRecords(nowMillis: Long) =
+        spread(announcements.due(position, view, nowMillis), emptyList(), emptyList())
 
     fun observe(summary: OutcomeSummary) = outcomes.add(summary, state)
 
@@ -104,12 +98,16 @@
     private fun spread(
         alerts: List<MoveAlert>,
         stages: List<OrderedStage>,
+    ) = spread(announcements.receivers(view), alerts, stages)
+
+    private fun spread(
+        receivers: List<NodeRecord>,
+        alerts: List<MoveAlert>,
+        stages: List<OrderedStage>,
     ) {
-        val peers = view.live().filter { it.node != self.node }
-        val (near, far) = peers.partition { it.failureDomain == self.failureDomain }
-        val chosen = near.inRandomOrder(random).take(settings.pushFanOut - 1) + far.inRandomOrder(random).take(1)
+        if (receivers.isEmpty()) return
         val message = membership.greeting()
-        chosen.forEach { outbox.send(OutgoingMessage(it.controlEndpoint, message), position, alerts, stages) }
+        receivers.forEach { outbox.send(OutgoingMessage(it.controlEndpoint, message), position, alerts, stages) }
     }
 
     /**
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlane.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlane.kt
@@ -57,7 +57,7 @@
             settings = settings,
             membership = membership(self, settings.membership, split(random)),
             outbox = outbox,
-            random = split(random),
+            announcements = Announcements(self, settings, split(random)),
             dissemination = dissemination,
             board = board,
             ordered = ordered,
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/LogDuty.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/LogDuty.kt
@@ -8,6 +8,7 @@
 import dev.baobabhollow.model.LogError
 import dev.baobabhollow.model.LogRecord
 import dev.baobabhollow.model.NodeRecord
+import dev.baobabhollow.model.NodeStatus
 import dev.baobabhollow.model.SnapshotRecord
 import org.apache.logging.log4j.LogManager
 
@@ -90,7 +91,9 @@
     private fun rankIn(view: FleetView): Int {
         if (view.revision == rankRevision) return rank
         rankRevision = view.revision
-        val ranked = rankNodes("log-readers", view.liveIn(self.failureDomain).map { it.node })
+        // A node that answers no probes may be gone, and its suspicion lasts longer than a version may be late.
+        val able = view.liveIn(self.failureDomain).filter { it.status != NodeStatus.SUSPECT }
+        val ranked = rankNodes("log-readers", able.map { it.node })
         rank = ranked.indexOf(self.node).let { if (it < 0) Int.MAX_VALUE else it }
         return rank
     }
