Bound the bytes that precede an answer and the rest of a refused one

A target in trouble may send bytes that are no answer without end. Informational answers, late answers to other calls and their bodies were skipped until the call's deadline, 10 s in the test, while the slot was held and the loop kept busy. A refusal whose body never ended, or stopped half way, held its slot for ever, because nobody waited for it any more and no deadline applied.

Bytes are now counted before they are decoded: more than 256 KB before the head of an answer end the call with an unknown outcome, and any byte on an idle connection closes it. The rest of a refusal is dropped like that of an abandoned attempt, and both for a second at most.

Endless status lines, headers, empty lines and bytes of no protocol were bounded by the decoder already, and a refusal before the request is whole freed its slot already.

--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ConnectionPool.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ConnectionPool.kt
@@ -64,6 +64,14 @@
         settings.keepAliveSeconds?.let { bootstrap.keepAlive(it) }
     }
 
+    /** Runs [step] on the pool's event loop after [delayMillis]. */
+    fun schedule(
+        delayMillis: Long,
+        step: () -> Unit,
+    ) {
+        loop.schedule(step, delayMillis, TimeUnit.MILLISECONDS)
+    }
+
     /** Calls [ready] with a connection, or with null and a reason other than a failed connect. */
     fun acquire(ready: (UpstreamConnection?, FailureReason?) -> Unit) = acquire(LIMIT_RETRIES, ready)
 
@@ -97,7 +105,8 @@
 
     private fun prepare(channel: Channel) {
         val decoder = StrictResponseDecoder(settings)
-        channel.pipeline().addLast(HttpRequestEncoder(), decoder, UpstreamConnection(channel, decoder, ::release))
+        val connection = UpstreamConnection(channel, decoder, settings.maxStrayAnswerBytes, ::release)
+        channel.pipeline().addLast(connection.strayByteGuard, HttpRequestEncoder(), decoder, connection)
     }
 
     /** Takes back a connection without an exchange. */
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxySettings.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxySettings.kt
@@ -21,6 +21,11 @@
     val replayBytes: Int = 32_768,
     /** Bytes of a request body that an owner collects before the call takes a slot, so that a slow sender holds none. */
     val collectBytes: Int = 65_536,
+    /**
+     * Most bytes that may come before the head of an answer: informational answers, and late ones to other calls with their
+     * bodies. More of them are taken for bytes without end.
+     */
+    val maxStrayAnswerBytes: Int = 262_144,
     /** Longest answer that is kept for a repeated idempotency key. */
     val storedAnswerBytes: Int = 16_384,
     /** Time for which an issued idempotency key is valid. */
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
@@ -222,7 +222,7 @@
         if (!isSilent) listener.onAnswerHead(head)
     }
 
-    /** The rest of the answer is read and dropped, so that the connection stays usable. */
+    /** The rest of the answer is read and dropped, within limits, so that the connection stays usable. */
     private fun onRefusedByTarget(facts: AnswerFacts) {
         isEnded = true
         if (!facts.isOtherInstance) record(TargetResult.SHED)
@@ -232,6 +232,7 @@
         isSilent = true
         val failure = CallFailure.notRun(reason)
         node.logRefusal(callId, route, failure, deadlineMillis - node.nowMillis())
+        upstream?.abandon()
         if (!wasSilent) listener.onFailure(failure)
     }
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamCall.kt
@@ -108,6 +108,7 @@
         if (!isRequestDone) return cancel()
         state = State.DISCARDING
         connection?.setReading(true)
+        pool.schedule(DISCARD_MILLIS) { if (state == State.DISCARDING) cancel() }
     }
 
     /** What the head of the latest answer states. */
@@ -154,7 +155,10 @@
         if (state == State.OPEN) listener.onWritabilityChanged()
     }
 
-    fun onReleased() = listener.onReleased()
+    fun onReleased() {
+        state = State.ENDED
+        listener.onReleased()
+    }
 
     /** Ends the call without a whole answer. */
     fun fail(reason: FailureReason) {
@@ -170,5 +174,8 @@
     private companion object {
         /** Reading a longer rest costs more than a new connection. */
         const val MAX_DISCARDED_BYTES = 65_536L
+
+        /** A slot is held until the rest of the answer is there, and most answers are whole within this time. */
+        const val DISCARD_MILLIS = 1_000L
     }
 }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamConnection.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamConnection.kt
@@ -1,7 +1,9 @@
 package dev.baobabhollow.proxy
 
+import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandler
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpMethod
@@ -20,8 +22,14 @@
 internal class UpstreamConnection(
     val channel: Channel,
     private val decoder: StrictResponseDecoder,
+    private val maxStrayBytes: Int,
     private val onIdle: (UpstreamConnection) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
+    /** Counts bytes before they are decoded, because a decoder skips some without a message. Precedes the decoder. */
+    val strayByteGuard: ChannelInboundHandler = StrayByteGuard()
+
+    /** Bytes of the present exchange that came before the head of its answer. */
+    private var strayBytes = 0L
     private var call: UpstreamCall? = null
     private var method: HttpMethod = HttpMethod.GET
     private var isHeadSeen = false
@@ -55,12 +63,24 @@
         isKeptAlive = true
         isAnswerDone = false
         isForeign = false
+        strayBytes = 0
     }
 
     fun setReading(isReading: Boolean) {
         if (channel.config().isAutoRead != isReading) channel.config().isAutoRead = isReading
     }
 
+    private fun onBytes(count: Int) {
+        val current = call
+        if (current == null) {
+            channel.close()
+            return
+        }
+        if (isHeadSeen) return
+        strayBytes += count
+        if (strayBytes > maxStrayBytes) breakOff(current)
+    }
+
     override fun channelRead(
         ctx: ChannelHandlerContext,
         message: Any,
@@ -185,6 +205,16 @@
         ctx.close()
     }
 
+    private inner class StrayByteGuard : ChannelInboundHandlerAdapter() {
+        override fun channelRead(
+            ctx: ChannelHandlerContext,
+            message: Any,
+        ) {
+            if (message is ByteBuf) onBytes(message.readableBytes())
+            ctx.fireChannelRead(message)
+        }
+    }
+
     private companion object {
         val KEEP_ALIVE: AsciiString = AsciiString.cached("keep-alive")
         val KEEP_ALIVE_TIMEOUT = Regex("timeout=(\\d{1,6})")
--- /dev/null
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/EndlessAnswerSpec.kt
@@ -0,0 +1,210 @@
+package dev.baobabhollow.proxy
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.netty.handler.codec.http.HttpResponse
+import java.net.SocketException
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Time within which a node must have closed a connection that brings no answer; the calls of these tests have 10 s. */
+private const val CLOSED_MILLIS = 3_000L
+
+/** Sends [piece] until the connection is closed, and then tells [closed]. */
+private fun Wire.sendWithoutEnd(
+    piece: String,
+    closed: Signal<Unit>,
+) {
+    try {
+        while (true) send(piece)
+    } catch (_: SocketException) {
+        closed.send(Unit)
+    }
+}
+
+/** Lets late answers to other calls pass by, and takes refusals that name themselves. */
+private object LenientProtocol : CallProtocol by MeshProtocol {
+    override val skipsForeignAnswers = true
+
+    override fun readAnswer(head: HttpResponse) =
+        AnswerFacts(callId = head.headers().get("id"), isNotRun = head.headers().contains("not-run"))
+}
+
+class EndlessAnswerSpec :
+    DescribeSpec({
+        val settings = ProxySettings(LOOPBACK_ANY, protocol = LenientProtocol)
+
+        /** The first request gets [start] and then [piece] without end, later ones are answered. */
+        fun endless(
+            start: String,
+            piece: String,
+            closed: Signal<Unit>,
+        ): ScriptedTarget {
+            val requests = AtomicInteger()
+            return ScriptedTarget { wire ->
+                while (true) {
+                    wire.read() ?: break
+                    if (requests.getAndIncrement() > 0) {
+                        wire.answer("ok")
+                        continue
+                    }
+                    wire.send(start)
+                    wire.sendWithoutEnd(piece, closed)
+                }
+            }
+        }
+
+        fun elapsedMillis(step: () -> Unit): Long {
+            val start = System.nanoTime()
+            step()
+            return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start)
+        }
+
+        val filler = "x".repeat(1_000)
+        val refused = "HTTP/1.1 503 full\r\nnot-run: 1\r\n"
+        val foreign = "HTTP/1.1 200 OK\r\nid: other\r\n"
+
+        describe("bytes without end that are no answer") {
+            // Guards against a target that holds a call, its slot and the node's time by sending until the deadline.
+            mapOf(
+                "a status line" to ("HTTP/1.1 200 " to filler),
+                "a header" to ("HTTP/1.1 200 OK\r\nx-long: " to filler),
+                "headers" to ("HTTP/1.1 200 OK\r\n" to "x-more: $filler\r\n"),
+                "no protocol" to ("" to filler),
+                "empty lines" to ("" to "\r\n".repeat(500)),
+                "informational answers" to ("" to "HTTP/1.1 102 Processing\r\n\r\n"),
+                "a chunk's size" to ("${foreign}transfer-encoding: chunked\r\n\r\n1;" to filler),
+                "the body of another call's answer" to
+                    ("${foreign}transfer-encoding: chunked\r\n\r\n" to "3e8\r\n$filler\r\n"),
+                "answers to other calls" to ("" to "${foreign}content-length: 1000\r\n\r\n$filler"),
+            ).forEach { (what, bytes) ->
+                it("end the call and the connection when they come as $what") {
+                    val closed = Signal<Unit>()
+                    endless(bytes.first, bytes.second, closed).use { target ->
+                        TestMesh(listOf(target.port), slots = 1, settings = settings).use { mesh ->
+                            var answer: Message? = null
+                            elapsedMillis {
+                                answer = call(mesh.port, "/orders/1", "POST")
+                                closed.await()
+                            } shouldBeLessThan CLOSED_MILLIS
+                            answer?.status shouldBe 502
+                            answer?.outcome shouldBe "unknown"
+                            call(mesh.port, "/orders/2", "POST")?.body shouldBe "ok"
+                        }
+                    }
+                }
+            }
+
+            // Guards against a slot that is never free again, since nobody waits for the rest of a refusal.
+            mapOf(
+                "chunks" to "${refused}transfer-encoding: chunked\r\n\r\n",
+                "a large length" to "${refused}content-length: 9000000000\r\n\r\n",
+            ).forEach { (what, start) ->
+                it("leave a refusal as it is and free the slot when they are its body in $what") {
+                    val closed = Signal<Unit>()
+                    endless(start, "3e8\r\n$filler\r\n", closed).use { target ->
+                        TestMesh(listOf(target.port), slots = 1, settings = settings).use { mesh ->
+                            elapsedMillis {
+                                val answer = call(mesh.port, "/orders/1", "POST")
+                                answer?.status shouldBe 503
+                                answer?.outcome shouldBe "not-run"
+                                closed.await()
+                            } shouldBeLessThan CLOSED_MILLIS
+                            call(mesh.port, "/orders/2", "POST")?.body shouldBe "ok"
+                        }
+                    }
+                }
+            }
+
+            // Guards against a connection that keeps a node busy although no call is on it.
+            it("close a connection that is idle") {
+                val closed = Signal<Unit>()
+                val target =
+                    ScriptedTarget { wire ->
+                        wire.read() ?: return@ScriptedTarget
+                        wire.answer("ok")
+                        wire.sendWithoutEnd("\r\n".repeat(500), closed)
+                    }
+                TestMesh(listOf(target.port), settings = settings).use { mesh ->
+                    elapsedMillis {
+                        call(mesh.port, "/stock/1")?.body shouldBe "ok"
+                        closed.await()
+                    } shouldBeLessThan CLOSED_MILLIS
+                }
+                target.close()
+            }
+        }
+
+        describe("the rest of a refusal that does not come") {
+            // Guards against a slot that is held for ever by a target that falls silent.
+            it("frees the slot after a short time") {
+                val requests = AtomicInteger()
+                val target =
+                    ScriptedTarget { wire ->
+                        while (true) {
+                            wire.read() ?: break
+                            if (requests.getAndIncrement() > 0) {
+                                wire.answer("ok")
+                            } else {
+                                wire.send("${refused}content-length: 100\r\n\r\nhalf")
+                                wire.readToEnd()
+                            }
+                        }
+                    }
+                TestMesh(listOf(target.port), slots = 1, settings = settings).use { mesh ->
+                    call(mesh.port, "/orders/1", "POST")?.status shouldBe 503
+                    elapsedMillis {
+                        call(mesh.port, "/orders/2", "POST")?.body shouldBe "ok"
+                    } shouldBeLessThan CLOSED_MILLIS
+                }
+                target.close()
+            }
+        }
+
+        describe("a refusal that comes before the request is whole") {
+            // Guards against a slot that is held for ever, since the rest of the request is sent to nobody.
+            it("frees the slot although the caller sends no more") {
+                val requests = AtomicInteger()
+                val target =
+                    ScriptedTarget { wire ->
+                        while (true) {
+                            wire.read(withBody = false) ?: break
+                            if (requests.getAndIncrement() > 0) {
+                                wire.answer("ok")
+                            } else {
+                                wire.answer("", "503 full", "not-run: 1\r\n")
+                                wire.readToEnd()
+                            }
+                        }
+                    }
+                TestMesh(listOf(target.port), slots = 1, settings = settings).use { mesh ->
+                    val upload = connect(mesh.port)
+                    upload.send("POST /drawings/1 HTTP/1.1\r\nhost: a\r\ncontent-length: 200000\r\n\r\n")
+                    upload.send("x".repeat(100_000))
+                    upload.read()?.status shouldBe 503
+                    elapsedMillis {
+                        call(mesh.port, "/orders/2", "POST")?.body shouldBe "ok"
+                    } shouldBeLessThan CLOSED_MILLIS
+                    upload.close()
+                }
+                target.close()
+            }
+        }
+
+        describe("a body without end that is the answer's") {
+            it("ends with the deadline, and its connection too") {
+                val closed = Signal<Unit>()
+                val start = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+                endless(start, "3e8\r\n$filler\r\n", closed).use { target ->
+                    TestMesh(listOf(target.port), slots = 1, settings = settings, timeoutMillis = 1_000).use { mesh ->
+                        elapsedMillis {
+                            call(mesh.port, "/orders/1", "POST") shouldBe null
+                            closed.await()
+                        } shouldBeLessThan CLOSED_MILLIS
+                        call(mesh.port, "/orders/2", "POST")?.body shouldBe "ok"
+                    }
+                }
+            }
+        }
+    })
