Bound the time that a lost read of the log keeps a reader waiting

A poll that the store takes in while it is silent is never answered, although its connection stays open.

The first reader of a domain, and a node that hears nobody, now wait 750 ms in a read, and an answer of the store may take 1.5 s, so that a lost read ends within the three seconds after trouble in which no bound holds. The second reader keeps its 15 s, which saves calls. Weighed: short polls for both readers, at twice the calls.

--- a/node/src/main/kotlin/dev/baobabhollow/node/PlatformTuning.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/PlatformTuning.kt
@@ -82,6 +82,8 @@
         peerSilenceMillis = 1_000,
         startGraceMillis = 0,
         longPollMillis = 15_000,
+        // With the time of an answer, 1.5 s, it ends within the three seconds after trouble in which no bound holds.
+        shortPollMillis = 750,
         appendTimeoutMillis = 2_000,
         maxBackoffMillis = 1_000,
         moveDecisionMillis = 200,
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlaneSettings.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlaneSettings.kt
@@ -27,7 +27,10 @@
     val peerSilenceMillis: Long = 5_000,
     /** Time that a starting node gives its peers before it turns to the log. */
     val startGraceMillis: Long = 1_500,
+    /** Longest wait of a read by the second log reader of a domain. */
     val longPollMillis: Long = 10_000,
+    /** Longest wait of a read by a node that others or it alone depend on; with its answer's time, the longest time lost. */
+    val shortPollMillis: Long = 2_000,
     val maxReadRecords: Int = 256,
     val appendTimeoutMillis: Long = 5_000,
     val maxQueuedAppends: Int = 64,
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/LogDuty.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/LogDuty.kt
@@ -22,7 +22,7 @@
 ) {
     private var rankRevision = -1L
     private var rank = 0
-    private var isActive = false
+    private var pollMillis: Long? = null
     private var lastBatch: LogBatch? = null
     private var isSnapshotPending = false
     private var nextSnapshotMillis = 0L
@@ -39,15 +39,15 @@
         uptimeMillis: Long,
         nowMillis: Long,
     ) {
-        val wasActive = isActive
-        isActive = shouldRead(view, position, silenceMillis, uptimeMillis)
-        if (isActive != wasActive) logRole(position, silenceMillis)
+        val wasReading = isReading
+        pollMillis = pollMillis(view, position, silenceMillis, uptimeMillis)
+        if (isReading != wasReading) logRole(position, silenceMillis)
         follow(position)
-        if (isActive && settings.writesSnapshots) writeSnapshotIfDue(state, position, nowMillis)
+        if (isReading && settings.writesSnapshots) writeSnapshotIfDue(state, position, nowMillis)
     }
 
     /** Hands the current offset to the log reader. */
-    fun follow(position: Position) = order(ReaderOrder(isActive, position.offset))
+    fun follow(position: Position) = order(ReaderOrder(pollMillis, position.offset))
 
     fun noteRead(batch: LogBatch) {
         lastError = null
@@ -63,18 +63,28 @@
         if (record.body is SnapshotRecord) isSnapshotPending = false
     }
 
-    /** A node without a state gives its peers a moment first, so that a mass restart does not storm the log. */
-    private fun shouldRead(
+    private val isReading get() = pollMillis != null
+
+    /**
+     * Returns how long one read of the log waits, or null if this node does not read it. A node without a state gives its
+     * peers a moment first, so that a mass restart does not storm the log. A read that the log has lost is noticed only
+     * when its time is over, so those that others depend on wait for a short time; the second reader saves calls.
+     */
+    private fun pollMillis(
         view: FleetView,
         position: Position,
         silenceMillis: Long,
         uptimeMillis: Long,
-    ): Boolean {
+    ): Long? {
         val hasOthers = settings.seeds.any { it != self.controlEndpoint } || view.live().size > 1
-        if (!hasOthers) return true
-        if (!position.isConfirmed && uptimeMillis < settings.startGraceMillis) return false
-        if (silenceMillis >= settings.peerSilenceMillis) return true
-        return rankIn(view) < READERS_PER_DOMAIN
+        if (!hasOthers) return settings.shortPollMillis
+        if (!position.isConfirmed && uptimeMillis < settings.startGraceMillis) return null
+        if (silenceMillis >= settings.peerSilenceMillis) return settings.shortPollMillis
+        return when (rankIn(view)) {
+            0 -> settings.shortPollMillis
+            in 1 until READERS_PER_DOMAIN -> settings.longPollMillis
+            else -> null
+        }
     }
 
     private fun logRole(
@@ -82,7 +92,7 @@
         silenceMillis: Long,
     ) = LOG.info(
         "event={} rank={} peers_silent_ms={} offset={}",
-        if (isActive) "log_reading_started" else "log_reading_stopped",
+        if (isReading) "log_reading_started" else "log_reading_stopped",
         rank,
         silenceMillis,
         position.offset,
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/LogReader.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/LogReader.kt
@@ -15,9 +15,9 @@
 import java.util.concurrent.locks.LockSupport
 import java.util.random.RandomGenerator
 
-/** Tells the log reader whether to read and which offset the node holds. */
+/** Tells the log reader how long to wait in a read, null if it shall not read, and which offset the node holds. */
 internal data class ReaderOrder(
-    val isActive: Boolean,
+    val pollMillis: Long?,
     val offset: Long,
 )
 
@@ -36,7 +36,7 @@
     private var isStopped = false
 
     @Volatile
-    private var order = ReaderOrder(false, -1)
+    private var order = ReaderOrder(null, -1)
 
     /** Is set again after each outage, in which stages of ordered moves may have been missed. */
     private var needsStages = true
@@ -64,7 +64,7 @@
     override fun run() {
         while (!isStopped) {
             try {
-                if (order.isActive) readOnce() else LockSupport.parkNanos(IDLE_NANOS)
+                order.pollMillis?.let(::readOnce) ?: LockSupport.parkNanos(IDLE_NANOS)
             } catch (_: InterruptedException) {
                 continue
             } catch (e: RuntimeException) {
@@ -74,19 +74,22 @@
         }
     }
 
-    private fun readOnce() {
+    private fun readOnce(pollMillis: Long) {
         if (needsStages) readStages()
         val after = order.offset
-        readAfter(after).fold(
+        readAfter(after, pollMillis).fold(
             success = { if (it.earliestOffset > after + 1) recover(it.earliestOffset) else accept(after, it) },
             failure = { handle(it) },
         )
     }
 
-    private fun readAfter(after: Long): Result<LogBatch, LogError> {
+    private fun readAfter(
+        after: Long,
+        pollMillis: Long,
+    ): Result<LogBatch, LogError> {
         if (isBehind) return counted(log.readNewest(StreamName.CONFIGURATION, after, settings.maxReadRecords))
         // Stages that could not be read must not wait for the next record.
-        return read(after, if (needsStages) clock() else clock() + settings.longPollMillis)
+        return read(after, if (needsStages) clock() else clock() + pollMillis)
     }
 
     private fun readStages() =
@@ -104,6 +107,8 @@
         isLost = false
         isBehind = (batch.entries.lastOrNull()?.offset ?: after) + 1 < batch.nextOffset
         hand { ControlEvent.LogRead(after, batch, it) }
+        // A log that ends further on but returns nothing would be asked again without a pause.
+        if (isBehind && batch.entries.isEmpty()) pauseMillis(settings.minBackoffMillis)
     }
 
     private fun handle(error: LogError) {
--- a/peers/src/test/kotlin/dev/baobabhollow/peers/LogDutySpec.kt
+++ b/peers/src/test/kotlin/dev/baobabhollow/peers/LogDutySpec.kt
@@ -22,23 +22,30 @@
     return NodeRecord(node, FailureDomainId("a"), 1, status, endpoint, endpoint, endpoint, null)
 }
 
-/** Tells whether the node that ranks [rank] reads the log while the nodes of the ranks in [suspects] answer no probes. */
-private fun reads(
+private val SETTINGS = ControlPlaneSettings()
+
+/** Returns how long the node that ranks [rank] waits in reads while the nodes of the ranks in [suspects] answer no probes. */
+private fun pollMillis(
     rank: Int,
     suspects: Set<Int>,
-): Boolean {
+): Long? {
     val self = record(RANKED[rank], NodeStatus.ALIVE)
     val nodes =
         RANKED.withIndex().associate { (i, node) ->
             node to record(node, if (i in suspects) NodeStatus.SUSPECT else NodeStatus.ALIVE)
         }
     var order: ReaderOrder? = null
-    val duty = LogDuty(self, ControlPlaneSettings(), { 0 }, { order = it }, { true })
+    val duty = LogDuty(self, SETTINGS, { 0 }, { order = it }, { true })
     val position = Position(4, 4, "hash")
     duty.tick(FleetView(self.node, nodes, 1), position, ConfigurationState.INITIAL, 0, 10_000, 0)
-    return checkNotNull(order).isActive
+    return checkNotNull(order).pollMillis
 }
 
+private fun reads(
+    rank: Int,
+    suspects: Set<Int>,
+) = pollMillis(rank, suspects) != null
+
 class LogDutySpec :
     DescribeSpec({
         describe("the nodes of a domain that hear one another") {
@@ -46,6 +53,13 @@
                 RANKED.indices.map { reads(it, emptySet()) } shouldBe listOf(true, true, false, false)
             }
 
+            // Guards against a domain whose readers both wait for an answer that the log has lost.
+            it("wait for a short time in the reads of the first reader") {
+                pollMillis(0, emptySet()) shouldBe SETTINGS.shortPollMillis
+                pollMillis(1, emptySet()) shouldBe SETTINGS.longPollMillis
+                pollMillis(1, setOf(0)) shouldBe SETTINGS.shortPollMillis
+            }
+
             // Guards against survivors that wait for the end of a suspicion, four seconds, while a version is published.
             it("take the place of readers that answer no probes") {
                 reads(2, setOf(0)) shouldBe true
