--- a/peers/src/test/kotlin/dev/baobabhollow/peers/FakePlatformLog.kt
+++ b/peers/src/test/kotlin/dev/baobabhollow/peers/FakePlatformLog.kt
@@ -8,6 +8,7 @@
 import dev.baobabhollow.model.LogEntry
 import dev.baobabhollow.model.LogError
 import dev.baobabhollow.model.LogRecord
+import dev.baobabhollow.model.OrderedStage
 import dev.baobabhollow.model.PlatformLog
 import dev.baobabhollow.model.StreamName
 import java.util.concurrent.atomic.AtomicInteger
@@ -23,6 +24,13 @@
     @Volatile
     var isDown = false
 
+    /** Stages of ordered moves that lie beside the stream. */
+    @Volatile
+    var stages: List<OrderedStage> = emptyList()
+
+    /** Number of reads of the stages that fail. */
+    val failingStageReads = AtomicInteger()
+
     /** Keeps readers from seeing new records. */
     @Volatile
     var isReadHeld = false
@@ -60,6 +68,11 @@
                 maxRecords: Int,
                 waitUntilMillis: Long,
             ): Result<LogBatch, LogError> = readFrom(afterOffset, maxRecords, waitUntilMillis, isCut)
+
+            override fun orderedStages(): Result<List<OrderedStage>, LogError> {
+                val fails = failingStageReads.getAndUpdate { maxOf(0, it - 1) } > 0
+                return if (fails) Err(LogError.Unavailable("stages")) else Ok(stages)
+            }
         }
 
     private fun readFrom(
