--- a/peers/src/main/kotlin/dev/baobabhollow/peers/Announcements.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/Announcements.kt
@@ -53,7 +53,7 @@
         /** The second round reaches nodes whose datagram was lost and, by another draw, those that were not told. */
         const val ROUNDS = 2
 
-        /** Leaves a quarter of the two seconds within which a version must be in force for the pull after the last round. */
+        /** Two rounds and a pull after the last one fit into the two seconds within which a version must be in force. */
         const val ROUND_MILLIS = 300L
 
         /** One of two may have died so recently that membership does not suspect it yet. */
--- a/peers/src/test/kotlin/dev/baobabhollow/peers/AnnouncementsSpec.kt
+++ b/peers/src/test/kotlin/dev/baobabhollow/peers/AnnouncementsSpec.kt
@@ -54,9 +54,12 @@
             }
 
             it("go to nodes that answer probes before those that do not") {
-                val nodes = listOf(node("a-1", NodeStatus.SUSPECT), node("a-2"), node("a-3"), node("a-4", NodeStatus.SUSPECT))
+                val nodes =
+                    listOf(node("a-1", NodeStatus.SUSPECT), node("a-2"), node("a-3"), node("a-4", NodeStatus.SUSPECT))
                 repeat(20) {
-                    announcements(it.toLong()).receivers(view(self, nodes)).map { it.node.value } shouldContainExactlyInAnyOrder
+                    announcements(
+                        it.toLong(),
+                    ).receivers(view(self, nodes)).map { it.node.value } shouldContainExactlyInAnyOrder
                         listOf("a-2", "a-3")
                 }
             }
@@ -71,7 +74,8 @@
                             val random = SplittableRandom(trial * 31L + i)
                             val announcements = Announcements(teller, SETTINGS, random)
                             val view = view(teller, domain + (tellers - teller))
-                            val told = announcements.due(position(1), view, 0) + announcements.due(position(1), view, 400)
+                            val told =
+                                announcements.due(position(1), view, 0) + announcements.due(position(1), view, 400)
                             told.any { it.node.value == "a-4" }
                         }
                     }
