Keep the connection of a refusal whose rest arrives

A refused call gives its rest up, and its exchange does so once more, which closed the connection: each call that a node's own target refused cost a new connection. EndlessAnswerSpec counted 5 connections for 5 refused calls before and 1 after.

--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
@@ -171,9 +171,8 @@
         path: String,
         version: Long,
     ) = callLog.write {
-        "event=call_unrouted call=$callId host=$host path=${path.take(
-            MAX_LOGGED_PATH_CHARS,
-        )} version=$version status=404"
+        val start = path.take(MAX_LOGGED_PATH_CHARS)
+        "event=call_unrouted call=$callId host=$host path=$start version=$version status=404"
     }
 
     fun logUnexpected(cause: Throwable) {
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamCall.kt
@@ -104,8 +104,8 @@
     }
 
     override fun abandon() {
-        if (state != State.OPEN) return cancel()
-        if (!isRequestDone) return cancel()
+        if (state == State.DISCARDING) return
+        if (state != State.OPEN || !isRequestDone) return cancel()
         state = State.DISCARDING
         connection?.setReading(true)
         pool.schedule(DISCARD_MILLIS) { if (state == State.DISCARDING) cancel() }
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/EndlessAnswerSpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/EndlessAnswerSpec.kt
@@ -162,6 +162,33 @@
             }
         }
 
+        describe("the rest of a refusal that comes") {
+            // Guards against a new connection for each call that an own target refuses while it is full.
+            it("leaves the connection in use") {
+                val connections = AtomicInteger()
+                val target =
+                    ScriptedTarget { wire ->
+                        connections.incrementAndGet()
+                        while (true) {
+                            wire.read() ?: break
+                            wire.send("${refused}content-length: 4\r\n\r\nfu")
+                            Thread.sleep(50)
+                            wire.send("ll")
+                        }
+                    }
+                // Each event loop has connections of its own.
+                val single = settings.copy(eventLoops = 1)
+                TestMesh(listOf(target.port), slots = 1, settings = single).use { mesh ->
+                    repeat(5) {
+                        call(mesh.owners[0].callersPort, "/orders/$it", "POST")?.status shouldBe 503
+                        Thread.sleep(150)
+                    }
+                }
+                connections.get() shouldBe 1
+                target.close()
+            }
+        }
+
         describe("a refusal that comes before the request is whole") {
             // Guards against a slot that is held for ever, since the rest of the request is sent to nobody.
             it("frees the slot although the caller sends no more") {
