Measure convergence from the sending of a record

All nodes had the record before the bench noticed the log's answer to its append, from which it counted, and a negative time was set to 0; no other path yields 0 once all arrivals are there. The check is right and stays; the times now count from before the append is sent, so that an arrival always comes later.

--- a/bench/src/main/kotlin/dev/baobabhollow/bench/distribution/DistributionBench.kt
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/distribution/DistributionBench.kt
@@ -88,7 +88,7 @@
         )
     }
 
-    /** Publishes [version] and returns for each node how long it took to arrive, in milliseconds. */
+    /** Publishes [version] and returns for each node how long it took to arrive since it was sent to the log, in milliseconds. */
     private fun change(
         version: Long,
         size: Int,
@@ -98,11 +98,12 @@
         val change = Change.PutMember(MemberId("member-$version"), MemberConfig("Member $version"))
         val record = LogRecord(WriterId("bench"), version, PatchRecord(version - 1, "bench", Patch(listOf(change))))
         val deadline = System.currentTimeMillis() + options.startTimeoutMillis
+        // Readers can have the record before the log's answer to its append is noticed here.
+        val sentNanos = System.nanoTime()
         log.append(StreamName.CONFIGURATION, listOf(record), deadline).fold({ }, { error("append failed: $it") })
-        val publishedNanos = System.nanoTime()
         await("version $version") { fleet.arrivalsOf(version).size == size }
         pauseMillis(options.pauseMillis)
-        return fleet.arrivalsOf(version).map { (it - publishedNanos).coerceAtLeast(0) / NANOS_PER_MILLI }
+        return fleet.arrivalsOf(version).map { (it - sentNanos) / NANOS_PER_MILLI }
     }
 
     private fun window(
