--- a/cli/src/main/kotlin/dev/baobabhollow/cli/faults/FaultCluster.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/faults/FaultCluster.kt
@@ -103,7 +103,7 @@
         val request =
             HttpRequest
                 .newBuilder(URI("http://$endpoint$path"))
-                .timeout(Duration.ofSeconds(2))
+                .timeout(INJECTION_TIMEOUT)
                 .POST(HttpRequest.BodyPublishers.ofString(body))
                 .build()
         val response = http.send(request, HttpResponse.BodyHandlers.ofString())
@@ -137,6 +137,9 @@
 
     private companion object {
         const val LEAVE_SECONDS = 20L
+
+        /** Injecting a fault checks nothing, so a stand-in that is slow on a busy machine is waited for. */
+        val INJECTION_TIMEOUT: Duration = Duration.ofSeconds(10)
         const val OK = 200
     }
 }
