--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -45,6 +45,8 @@
     private val faults: FaultInjection = FaultInjection { takeFaults(it) }
     private val tableLock = Any()
     private val changeLog = ChangeLog()
+    private val pressureLog = PressureLog()
+    private val metrics = NodeMetrics(registry)
     private val control = controlPlane(registry)
     private val logClaims =
         if (settings.platform == PlatformKind.OWN) {
@@ -76,7 +78,6 @@
         }
 
     init {
-        val metrics = NodeMetrics(registry)
         metrics.gauge("ready", "1 if the node lacks nothing to take calls") { if (facts().lacking.isEmpty()) 1 else 0 }
         metrics.gauge("calls_in_flight", "Calls in flight on both ports") { proxy?.inFlight ?: 0 }
         metrics.gauge("target_load_permille", "Load of the own target in permille of its slots") {
@@ -115,6 +116,7 @@
         targetDuty?.start()
         val countMillis = if (settings.platform == PlatformKind.OWN) COUNT_MILLIS else FAST_COUNT_MILLIS
         duties.scheduleWithFixedDelay(::passOnCounts, countMillis, countMillis, TimeUnit.MILLISECONDS)
+        duties.scheduleWithFixedDelay(::notePressure, PRESSURE_MILLIS, PRESSURE_MILLIS, TimeUnit.MILLISECONDS)
         EventLog.write(
             "node_started",
             "failureDomain" to settings.failureDomain,
@@ -278,7 +280,22 @@
         }
     }
 
+    private fun notePressure() {
+        val server = proxy ?: return
+        try {
+            val pressure = Pressure(server.takeLongestLag(), control.takeWork(), server.inFlight)
+            metrics.count(pressure)
+            pressureLog.note(pressure)
+        } catch (e: RuntimeException) {
+            // An exception would end the schedule.
+            EventLog.write("pressure_unknown", level = Level.ERROR, cause = e)
+        }
+    }
+
     private companion object {
+        /** Bounds the lines of [PressureLog] to one a second. */
+        const val PRESSURE_MILLIS = 1_000L
+
         /** Half of the period in which the control plane sends summaries on. */
         const val COUNT_MILLIS = 500L
 
--- a/node/src/main/kotlin/dev/baobabhollow/node/NodeMetrics.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/NodeMetrics.kt
@@ -1,8 +1,10 @@
 package dev.baobabhollow.node
 
 import dev.baobabhollow.proxy.claims.ClaimCounters
+import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.CounterWithCallback
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 
 /** Shows values of the node that others count: they are read when the metrics are scraped. */
@@ -23,6 +25,26 @@
             .register(registry)
     }
 
+    private val loopLag =
+        Histogram
+            .builder()
+            .name("baobabhollow_loop_lag_seconds")
+            .help("Longest time in each second by which an event loop was late")
+            .classicOnly()
+            .register(registry)
+    private val controlBusy =
+        Counter
+            .builder()
+            .name("baobabhollow_control_busy_seconds_total")
+            .help("Time that the control thread has worked")
+            .register(registry)
+
+    /** Counts how late the node was in one period. */
+    fun count(pressure: Pressure) {
+        loopLag.observe(pressure.loopLagMillis / MILLIS_PER_SECOND)
+        controlBusy.inc(pressure.control.busyMillis / MILLIS_PER_SECOND)
+    }
+
     /** Shows the counts of claims by result. */
     fun claims(counters: ClaimCounters) {
         CounterWithCallback
@@ -38,4 +60,8 @@
                 it.call(counters.lostReleases.toDouble(), "lost-release")
             }.register(registry)
     }
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000.0
+    }
 }
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlane.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlane.kt
@@ -82,6 +82,9 @@
     /** Is false until a state was obtained from peers or from the log. */
     val isReady: Boolean get() = readiness.isReady
 
+    /** Returns what the control thread has worked since the last call. */
+    fun takeWork(): ControlWork = thread.takeWork()
+
     /** Binds the control port and starts all threads. Throws when the port is taken. */
     fun start() {
         transport.start()
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlThread.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlThread.kt
@@ -24,6 +24,8 @@
     private val summaries: ControlRing<OutcomeSummary>,
     private val onChange: (ConfigurationState, FleetView, Set<MoveId>) -> Unit,
 ) : Thread("control") {
+    private val times = StepTimes()
+
     @Volatile
     private var isStopped = false
 
@@ -38,26 +40,29 @@
         summaries.attach(this)
     }
 
+    /** Returns what the thread has worked since the last call. Safe to call on any thread. */
+    fun takeWork(): ControlWork = times.take()
+
     fun shutdown() {
         isStopped = true
         LockSupport.unpark(this)
     }
 
     override fun run() {
-        guarded { core.start(nowMillis()) }
+        guarded("start") { core.start(nowMillis()) }
         var nextTickMillis = nowMillis()
         while (!isStopped) {
             repeat(MAX_BATCH) {
                 val event = events.poll() ?: return@repeat
-                guarded { core.handle(event, nowMillis()) }
+                guarded(event.javaClass.simpleName) { core.handle(event, nowMillis()) }
             }
             repeat(MAX_BATCH) {
                 val summary = summaries.poll() ?: return@repeat
-                guarded { core.observe(summary) }
+                guarded("observe") { core.observe(summary) }
             }
             if (nowMillis() >= nextTickMillis) {
                 nextTickMillis = nowMillis() + settings.tickMillis
-                guarded { core.tick(nowMillis()) }
+                guarded("tick") { core.tick(nowMillis()) }
             }
             publish()
             waitUntil(nextTickMillis)
@@ -73,7 +78,7 @@
         val readiness = core.readiness()
         if (isSame && before.readiness == readiness) return
         published = Published(core.state, core.view, core.held, readiness)
-        if (!isSame) guarded { onChange(core.state, core.view, core.held) }
+        if (!isSame) guarded("publish") { onChange(core.state, core.view, core.held) }
     }
 
     private fun waitUntil(tickMillis: Long) {
@@ -83,9 +88,12 @@
     }
 
     /** Keeps the thread alive: one message that cannot be handled must not stop the control plane. */
-    private fun guarded(step: () -> Unit) {
+    private fun guarded(
+        name: String,
+        step: () -> Unit,
+    ) {
         try {
-            step()
+            times.measure(name, step)
         } catch (e: RuntimeException) {
             LOG.error("control step failed", e)
         }
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
@@ -39,6 +39,8 @@
     /** Offset of the last divergence that was logged; peers repeat theirs with each datagram. */
     private var reportedOffset = Long.MIN_VALUE
 
+    private var pullStartedMillis = 0L
+
     /** A pull counts as failed then, even if its answer was lost because the ring was full. */
     private var pullTimeoutMillis = 0L
 
@@ -85,6 +87,7 @@
         if (nowMillis < nextPullAtMillis) return
         val source = ahead ?: anyPeer(view).takeIf { !position.isConfirmed } ?: return
         isPulling = true
+        pullStartedMillis = nowMillis
         pullTimeoutMillis = nowMillis + settings.requestTimeoutMillis * 2
         outbox.request(source, Pull(position.offset)) { post(ControlEvent.PullAnswered(it)) }
     }
@@ -102,6 +105,7 @@
         isPulling = false
         ahead = null
         val body = answer.fold({ it.body }) { return noteFailedPull(it, nowMillis) }
+        LOG.info("event=pull_answered answer={} millis={}", body::class.simpleName, nowMillis - pullStartedMillis)
         when (body) {
             is Push -> takePulled { take(body.batch, view, Origin.PEER) }
             is WholeState -> takePulled { take(body.transfer, Origin.PEER) }
@@ -220,10 +224,11 @@
         val before = position
         position = Position(state.offset, state.version, contentHash(state), position.isConfirmed)
         LOG.info(
-            "event=configuration_taken from={} offset={} version={} offset_before={} confirmed={}",
+            "event=configuration_taken from={} offset={} version={} routes={} offset_before={} confirmed={}",
             origin.text,
             position.offset,
             position.version,
+            state.mesh.routes.size,
             before.offset,
             position.isConfirmed,
         )
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
@@ -135,6 +135,9 @@
         replay.clear()
     }
 
+    override fun onSending(waitedMicros: Long) =
+        node.logDelay(callerCallId, "entry", attemptMicros - startMicros, waitedMicros)
+
     override fun onAnswerHead(head: HttpResponse) {
         val headers = head.headers()
         val outcome = headers.get(MeshHeaders.OUTCOME)
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
@@ -164,6 +164,22 @@
             "instance=${self.target?.instance} target_status=${self.target?.status}"
     }
 
+    /**
+     * Logs that a call was sent on late: after [beforeMicros] in the queue, or with earlier attempts at the entry node, and
+     * [connectionMicros] without a connection. Its caller may have left meanwhile.
+     */
+    fun logDelay(
+        callId: String?,
+        leg: String,
+        beforeMicros: Long,
+        connectionMicros: Long,
+    ) {
+        if (beforeMicros + connectionMicros < LOGGED_DELAY_MICROS) return
+        callLog.write {
+            "event=call_delayed call=$callId leg=$leg before_micros=$beforeMicros connection_micros=$connectionMicros"
+        }
+    }
+
     /** Logs that [version] of the configuration has no route for a call, so that a late version can be told from a wrong path. */
     fun logUnrouted(
         callId: String?,
@@ -187,6 +203,9 @@
         /** Server errors are worth a line, whoever made them. */
         const val FIRST_LOGGED_STATUS = 500
 
+        /** Callers that have left must be noticed within half a second. */
+        const val LOGGED_DELAY_MICROS = 400_000L
+
         /** Keeps a line about a call at about the length that [CallLog] is laid out for. */
         const val MAX_LOGGED_PATH_CHARS = 120
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
@@ -54,6 +54,9 @@
     /** Calls that hold a slot of the own target or wait for one, in permille of its slots. */
     val loadPermille: Int get() = node.admission.loadPermille
 
+    /** Returns the longest time in milliseconds by which an event loop was late since the last call. */
+    fun takeLongestLag(): Long = group.maxOf { node.pools(it as EventLoop).lag.takeLongest() }
+
     init {
         group.forEach { loop ->
             val pools = node.pools(loop as EventLoop)
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
@@ -39,6 +39,7 @@
     private var isSlotHeld = false
     private var isEnded = false
     private var isSilent = false
+    private var submittedMicros = 0L
     private var startMicros = 0L
     private var startLoadPermille = 0
     private var result: TargetResult? = null
@@ -68,6 +69,7 @@
 
     private fun submit() {
         isSubmitted = true
+        submittedMicros = node.nowMicros()
         val request = slotRequest()
         var early: (() -> Unit)? = null
         val submitted =
@@ -204,6 +206,11 @@
         if (upstream == null) cancel() else upstream?.abandon()
     }
 
+    override fun onSending(waitedMicros: Long) {
+        val slotMicros = startMicros - submittedMicros
+        node.logDelay(callId, "owner", slotMicros, waitedMicros)
+    }
+
     override fun onAnswerHead(head: HttpResponse) {
         val code = head.status().code()
         val facts = checkNotNull(upstream).answer
