Send peers what has changed between configurations in place of whole ones

A link of 7 Mbit/s needs 0.36 s for one copy. The cost of a change grew with the configuration and not with the change.

Now a node remembers the last 24 configurations, which share equal routes, and answers a pull with the difference to the one that the asker holds and the hash of the result; the asker asks for the whole if the hash does not fit. Answers are made once for each position and deflated from 4 KB on. The content hash adds up hashes of routes, of which only those that differ are computed again. Older nodes do not ask for either and get what they got before.

MeshChangeSpec and the part of PeerCodecSpec were written with the change.

--- a/configuration/src/main/kotlin/dev/baobabhollow/configuration/ConfigurationReplica.kt
+++ b/configuration/src/main/kotlin/dev/baobabhollow/configuration/ConfigurationReplica.kt
@@ -1,7 +1,10 @@
 package dev.baobabhollow.configuration
 
+import dev.baobabhollow.model.ConfigurationRecord
 import dev.baobabhollow.model.ConfigurationState
 import dev.baobabhollow.model.LogEntry
+import dev.baobabhollow.model.MeshChangeRecord
+import dev.baobabhollow.model.MeshConfig
 import java.util.concurrent.atomic.AtomicReference
 
 /**
@@ -14,11 +17,16 @@
 ) {
     private val current = AtomicReference(initial)
     private val tail = ArrayDeque<LogEntry>()
+    private val recent = RecentMeshes().also { it.note(initial) }
+    private val hasher = ContentHasher()
     private var tailAfterOffset = initial.offset
 
     /** Latest complete state. */
     val state: ConfigurationState get() = current.get()
 
+    /** Hash of [state]. Costs as much as what has changed since it was last asked for. */
+    val contentHash: String get() = hasher.hash(state)
+
     /** Applies the entries of [batch] that are new, or nothing when records between the state and the batch are missing. */
     fun offer(batch: RecordBatch): OfferResult {
         val before = state
@@ -26,21 +34,57 @@
         if (batch.afterOffset > before.offset) return OfferResult.Gap(before.offset)
         val fresh = batch.entries.filter { it.offset > before.offset }
         if (fresh.isEmpty()) return OfferResult.Unchanged
-        current.set(fresh.fold(before, ::fold))
-        keepTail(fresh)
+        val whole = mutableListOf<LogEntry>()
+        var next = before
+        for (entry in fresh) {
+            val expanded =
+                expanded(entry, next) ?: return OfferResult.Rejected("a change does not fit the configuration")
+            next = fold(next, expanded)
+            whole += expanded
+        }
+        current.set(next)
+        recent.note(next)
+        keepTail(whole)
         return OfferResult.Applied(state)
     }
 
+    /** Returns [entry] with a whole configuration, or null if it holds a change that [state] does not become it by. */
+    private fun expanded(
+        entry: LogEntry,
+        state: ConfigurationState,
+    ): LogEntry? {
+        val body = entry.record.body
+        val mesh =
+            when (body) {
+                is ConfigurationRecord -> body.mesh.sharing(state.mesh)
+                is MeshChangeRecord -> changed(body, state) ?: return null
+                else -> return entry
+            }
+        val version = if (body is MeshChangeRecord) body.version else (body as ConfigurationRecord).version
+        return entry.copy(record = entry.record.copy(body = ConfigurationRecord(version, mesh)))
+    }
+
+    private fun changed(
+        body: MeshChangeRecord,
+        state: ConfigurationState,
+    ): MeshConfig? {
+        // Folding ignores it then, whatever it holds.
+        if (body.version <= state.version) return state.mesh
+        if (body.baseVersion != state.version) return null
+        return body.change.applyTo(state.mesh).takeIf { hasher.hash(it) == body.meshHash }
+    }
+
     /** Takes over a whole state if it is newer than this copy and its hash matches. */
     fun offer(transfer: StateTransfer): OfferResult {
         if (transfer.state.offset <= state.offset) return OfferResult.Unchanged
         if (transfer.state.version < state.version) return OfferResult.Rejected("version would go back")
-        if (contentHash(transfer.state) !=
+        if (hasher.hash(transfer.state) !=
             transfer.contentHash
         ) {
             return OfferResult.Rejected("content hash does not match")
         }
         current.set(transfer.state)
+        recent.note(transfer.state)
         tail.clear()
         tailAfterOffset = transfer.state.offset
         return OfferResult.Applied(state)
@@ -52,8 +96,17 @@
         return RecordBatch(offset, tail.filter { it.offset > offset })
     }
 
+    /**
+     * Returns the same as [recordsAfter], with what has changed since [offset] in place of a whole configuration where most
+     * of it is the same.
+     */
+    fun changesAfter(offset: Long): RecordBatch? {
+        val records = recordsAfter(offset) ?: return null
+        return records.copy(entries = records.entries.map { recent.shortened(it, offset, state, hasher) })
+    }
+
     /** Returns the whole state for a peer that is too far behind for [recordsAfter]. */
-    fun transfer(): StateTransfer = StateTransfer(state, contentHash(state))
+    fun transfer(): StateTransfer = StateTransfer(state, contentHash)
 
     private fun keepTail(entries: List<LogEntry>) {
         val kept = compacted(tail + entries)
--- a/configuration/src/main/kotlin/dev/baobabhollow/configuration/Fold.kt
+++ b/configuration/src/main/kotlin/dev/baobabhollow/configuration/Fold.kt
@@ -5,6 +5,7 @@
 import dev.baobabhollow.model.ConfigurationRecord
 import dev.baobabhollow.model.ConfigurationState
 import dev.baobabhollow.model.LogEntry
+import dev.baobabhollow.model.MeshChangeRecord
 import dev.baobabhollow.model.MoveId
 import dev.baobabhollow.model.MoveOrder
 import dev.baobabhollow.model.MoveOrderRecord
@@ -53,7 +54,7 @@
         is PatchRecord -> foldPatch(seen, entry, body)
         is MoveStageRecord -> foldMoveStage(seen, entry, body)
         is SnapshotRecord -> seen.copy(snapshotOffset = entry.offset, snapshotAtMillis = entry.appendedAtMillis)
-        is ClaimsRecord, is ConfigurationRecord, is MoveOrderRecord, is UnreadableRecord -> seen
+        is ClaimsRecord, is ConfigurationRecord, is MoveOrderRecord, is MeshChangeRecord, is UnreadableRecord -> seen
     }
 }
 
--- /dev/null
+++ b/configuration/src/main/kotlin/dev/baobabhollow/configuration/RecentMeshes.kt
@@ -0,0 +1,58 @@
+package dev.baobabhollow.configuration
+
+import dev.baobabhollow.model.ConfigurationRecord
+import dev.baobabhollow.model.ConfigurationState
+import dev.baobabhollow.model.LogEntry
+import dev.baobabhollow.model.MeshChange
+import dev.baobabhollow.model.MeshChangeRecord
+import dev.baobabhollow.model.MeshConfig
+import dev.baobabhollow.model.RouteConfig
+import dev.baobabhollow.model.RouteId
+
+/**
+ * Remembers the configurations of the last offsets, so that peers which hold one of them get only what has changed since.
+ * They share the routes that are equal. Not safe for use by several threads.
+ */
+internal class RecentMeshes {
+    private class Remembered(
+        val offset: Long,
+        val version: Long,
+        val mesh: MeshConfig,
+    )
+
+    private val remembered = ArrayDeque<Remembered>()
+
+    fun note(state: ConfigurationState) {
+        remembered.addLast(Remembered(state.offset, state.version, state.mesh))
+        if (remembered.size > MAX_REMEMBERED) remembered.removeFirst()
+    }
+
+    /** Returns [entry] with the change since [offset] in place of its whole configuration, which led to [now]. */
+    fun shortened(
+        entry: LogEntry,
+        offset: Long,
+        now: ConfigurationState,
+        hasher: ContentHasher,
+    ): LogEntry {
+        val body = entry.record.body as? ConfigurationRecord ?: return entry
+        val base = remembered.firstOrNull { it.offset == offset } ?: return entry
+        if (base.version >= body.version || body.version != now.version) return entry
+        val change = MeshChange.between(base.mesh, now.mesh)
+        if (change.routeCount * 2 > now.mesh.routes.size) return entry
+        val short = MeshChangeRecord(base.version, body.version, change, hasher.hash(now.mesh))
+        return entry.copy(record = entry.record.copy(body = short))
+    }
+
+    private companion object {
+        /** Covers a storm of six versions a second for longer than a node may be behind. */
+        const val MAX_REMEMBERED = 24
+    }
+}
+
+/** Returns this configuration with the instances of those routes that are equal in [base], so that both share them. */
+internal fun MeshConfig.sharing(base: MeshConfig): MeshConfig {
+    if (base.routes.isEmpty()) return this
+    val shared = LinkedHashMap<RouteId, RouteConfig>(routes.size * 2)
+    routes.forEach { (id, route) -> shared[id] = base.routes[id]?.takeIf { it == route } ?: route }
+    return copy(routes = shared)
+}
--- /dev/null
+++ b/configuration/src/test/kotlin/dev/baobabhollow/configuration/MeshChangeSpec.kt
@@ -0,0 +1,146 @@
+package dev.baobabhollow.configuration
+
+import dev.baobabhollow.model.CallerLimits
+import dev.baobabhollow.model.ConfigurationRecord
+import dev.baobabhollow.model.ConfigurationState
+import dev.baobabhollow.model.MeshChange
+import dev.baobabhollow.model.MeshChangeRecord
+import dev.baobabhollow.model.MeshConfig
+import dev.baobabhollow.model.RouteConfig
+import dev.baobabhollow.model.RouteId
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.kotest.matchers.types.shouldBeSameInstanceAs
+import kotlin.random.Random
+
+private const val ROUTES = 40
+
+private fun randomMesh(random: Random) =
+    MeshConfig(
+        routes =
+            (0 until ROUTES).filter { random.nextInt(4) > 0 }.associate {
+                RouteId("r$it") to RouteConfig(vitrina, "/r$it/", timeoutMillis = random.nextLong(3))
+            },
+        callerLimits = if (random.nextBoolean()) CallerLimits(1, 2, 3, random.nextLong(2)) else null,
+    )
+
+/** Returns [mesh] with another timeout for one route, as a new version would hold it: equal, but no instance is shared. */
+private fun MeshConfig.withOneChange(number: Int): MeshConfig {
+    val changed = routes.keys.elementAt(number % routes.size)
+    return copy(
+        routes =
+            routes.mapValues { (id, it) ->
+                if (id ==
+                    changed
+                ) {
+                    it.copy(timeoutMillis = 99L + number)
+                } else {
+                    it.copy()
+                }
+            },
+    )
+}
+
+class MeshChangeSpec :
+    DescribeSpec({
+        describe("a change between two configurations") {
+            // Guards against nodes that route by other configurations than the log holds.
+            it("turns one into the other") {
+                repeat(200) { seed ->
+                    val random = Random(seed)
+                    val base = randomMesh(random)
+                    val next = randomMesh(random)
+                    MeshChange.between(base, next).applyTo(base) shouldBe next
+                }
+            }
+        }
+
+        describe("hashes of states one after the other") {
+            // Guards against nodes that hold equal states and take each other's for divergent.
+            it("equal those of the states alone, whatever came before") {
+                val hasher = ContentHasher()
+                repeat(200) { seed ->
+                    val state = ConfigurationState(offset = seed.toLong(), mesh = randomMesh(Random(seed)))
+                    hasher.hash(state) shouldBe contentHash(state)
+                }
+            }
+
+            it("tell apart states that differ in one route") {
+                val mesh = randomMesh(Random(1))
+                contentHash(ConfigurationState(mesh = mesh)) shouldNotBe
+                    contentHash(ConfigurationState(mesh = mesh.withOneChange(3)))
+            }
+
+            // Guards against hashes that depend on the order in which a node learned of routes.
+            it("do not depend on the order of routes") {
+                val mesh = randomMesh(Random(2))
+                val turned =
+                    mesh.copy(
+                        routes =
+                            mesh.routes.entries
+                                .reversed()
+                                .associate { it.toPair() },
+                    )
+                contentHash(ConfigurationState(mesh = turned)) shouldBe contentHash(ConfigurationState(mesh = mesh))
+            }
+        }
+
+        describe("a replica that answers a peer") {
+            val first = randomMesh(Random(3))
+            val builder = LogBuilder().add(ConfigurationRecord(1, first))
+
+            fun replicaOf(builder: LogBuilder) =
+                ConfigurationReplica().also { it.offer(RecordBatch(-1, builder.entries)) }
+
+            val peer = replicaOf(builder)
+            val leader = replicaOf(builder)
+            builder.add(ConfigurationRecord(2, first.withOneChange(1)))
+            leader.offer(RecordBatch(0, builder.entries.drop(1)))
+
+            it("sends what has changed since the version that the peer holds") {
+                val body =
+                    leader
+                        .changesAfter(0)!!
+                        .entries
+                        .single()
+                        .record.body
+                body.shouldBeInstanceOf<MeshChangeRecord>().change.routeCount shouldBe 1
+            }
+
+            // Guards against a peer that holds another state than the sender, or serves a change to a third node.
+            it("leads the peer to the same state, and the peer serves whole configurations again") {
+                peer.offer(leader.changesAfter(0)!!).shouldBeInstanceOf<OfferResult.Applied>()
+                peer.state shouldBe leader.state
+                peer.contentHash shouldBe leader.contentHash
+                peer
+                    .recordsAfter(0)!!
+                    .entries
+                    .single()
+                    .record.body
+                    .shouldBeInstanceOf<ConfigurationRecord>()
+            }
+
+            it("keeps the instances of routes that stay the same") {
+                val id = first.routes.keys.first()
+                peer.state.mesh.routes[id] shouldBeSameInstanceAs first.routes[id]
+                leader.state.mesh.routes[id] shouldBeSameInstanceAs first.routes[id]
+            }
+
+            it("sends whole configurations to a peer whose version it does not remember") {
+                leader.changesAfter(-1)!!.entries.map { it.record.body::class } shouldBe
+                    listOf(ConfigurationRecord::class)
+            }
+
+            // Guards against a change that is applied to another configuration than the one that it was made from.
+            it("is not followed where the change does not fit") {
+                val other = ConfigurationReplica()
+                val foreign = LogBuilder().add(ConfigurationRecord(1, randomMesh(Random(9))))
+                other.offer(RecordBatch(-1, foreign.entries))
+                val before = other.state
+                other.offer(leader.changesAfter(0)!!).shouldBeInstanceOf<OfferResult.Rejected>()
+                other.state shouldBe before
+            }
+        }
+    })
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
@@ -34,6 +34,13 @@
     private val limit = TransferLimit(settings.transfersPerSecond)
     private var ahead: Endpoint? = null
     private var isPulling = false
+    private var pulledFrom: Endpoint? = null
+
+    /** True after a change that did not fit, until a whole configuration has been taken. */
+    private var needsWhole = false
+
+    /** Answers to pulls from the present position, which most peers ask for at about the same offset. */
+    private val answers = HashMap<Pull, FrameBody>()
     private var nextPullAtMillis = 0L
 
     /** Offset of the last divergence that was logged; peers repeat theirs with each datagram. */
@@ -45,7 +52,7 @@
     private var pullTimeoutMillis = 0L
 
     /** Is renewed once for each offset, because hashing the whole state on each probe would cost too much. */
-    var position = Position(replica.state.offset, replica.state.version, contentHash(replica.state), false)
+    var position = Position(replica.state.offset, replica.state.version, replica.contentHash, false)
         private set
 
     val state: ConfigurationState get() = replica.state
@@ -87,9 +94,11 @@
         if (nowMillis < nextPullAtMillis) return
         val source = ahead ?: anyPeer(view).takeIf { !position.isConfirmed } ?: return
         isPulling = true
+        pulledFrom = source
         pullStartedMillis = nowMillis
         pullTimeoutMillis = nowMillis + settings.requestTimeoutMillis * 2
-        outbox.request(source, Pull(position.offset)) { post(ControlEvent.PullAnswered(it)) }
+        val pull = Pull(position.offset, takesChanges = !needsWhole, takesDeflated = true)
+        outbox.request(source, pull) { post(ControlEvent.PullAnswered(it)) }
     }
 
     /** Pulls from any peer, because the log no longer has what comes next. */
@@ -190,6 +199,9 @@
             }
 
             is OfferResult.Rejected -> {
+                // A change may not fit because the state has moved on since it was asked for; then another one will.
+                needsWhole = batch.afterOffset == before
+                if (origin == Origin.PEER) ahead = pulledFrom
                 metrics.countIgnored("rejected batch")
                 LOG.warn("batch rejected: {}", result.reason)
             }
@@ -222,7 +234,9 @@
 
     private fun moveOn(origin: Origin) {
         val before = position
-        position = Position(state.offset, state.version, contentHash(state), position.isConfirmed)
+        position = Position(state.offset, state.version, replica.contentHash, position.isConfirmed)
+        needsWhole = false
+        answers.clear()
         LOG.info(
             "event=configuration_taken from={} offset={} version={} routes={} offset_before={} confirmed={}",
             origin.text,
@@ -277,9 +291,19 @@
             return counted("nothing", NothingNew(position))
         }
         val records = replica.recordsAfter(pull.afterOffset)?.takeIf { it.entries.size <= MAX_DELTA_RECORDS }
-        if (records != null) return counted("records", Push(records))
-        limit.admit(nowMillis)?.let { return counted("refused", Refused(it)) }
-        return counted("state", WholeState(StateTransfer(state, position.contentHash)))
+        if (records == null) limit.admit(nowMillis)?.let { return counted("refused", Refused(it)) }
+        if (answers.size >= MAX_ANSWERS) answers.clear()
+        val body = answers.getOrPut(pull) { newAnswer(pull, records) }
+        return counted(if (records == null) "state" else "records", body)
+    }
+
+    private fun newAnswer(
+        pull: Pull,
+        records: RecordBatch?,
+    ): FrameBody {
+        val batch = if (pull.takesChanges) replica.changesAfter(pull.afterOffset) else records
+        val body = if (records == null || batch == null) WholeState(replica.transfer()) else Push(batch)
+        return if (pull.takesDeflated) PeerCodec.deflate(body) else body
     }
 
     private fun answerPush(
@@ -333,6 +357,9 @@
     private companion object {
         /** Longer tails cost more than the state and would pass the admission of transfers. */
         const val MAX_DELTA_RECORDS = 64
+
+        /** Peers that follow are at one of a few offsets. */
+        const val MAX_ANSWERS = 16
         val LOG = LogManager.getLogger(Dissemination::class.java)
     }
 }
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/PeerCodec.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/PeerCodec.kt
@@ -3,10 +3,19 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.map
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
+import java.io.ByteArrayInputStream
+import java.io.ByteArrayOutputStream
+import java.io.IOException
+import java.util.zip.Deflater
+import java.util.zip.DeflaterOutputStream
+import java.util.zip.Inflater
+import java.util.zip.InflaterInputStream
 
 /** Says why the layer could not exchange a message with a peer. */
 internal sealed interface PeerError {
@@ -42,7 +51,41 @@
 
     fun decodeDatagram(bytes: ByteArray): Result<PeerDatagram, PeerError> = decode(PeerDatagram.serializer(), bytes)
 
-    fun decodeFrame(bytes: ByteArray): Result<PeerFrame, PeerError> = decode(PeerFrame.serializer(), bytes)
+    /** Decodes a frame whose body, if it is deflated, has at most [maxBodyBytes]. */
+    fun decodeFrame(
+        bytes: ByteArray,
+        maxBodyBytes: Int = MAX_BODY_BYTES,
+    ): Result<PeerFrame, PeerError> =
+        decode(PeerFrame.serializer(), bytes).andThen { frame ->
+            val body = frame.body
+            if (body is Deflated) inflate(body, maxBodyBytes).map { frame.copy(body = it) } else Ok(frame)
+        }
+
+    /** Returns [body] deflated if that is worth the time, else [body] itself. */
+    fun deflate(body: FrameBody): FrameBody {
+        val bytes = cbor.encodeToByteArray(FrameBody.serializer(), body)
+        if (bytes.size < MIN_DEFLATED_BYTES) return body
+        val deflater = Deflater(Deflater.BEST_SPEED)
+        val out = ByteArrayOutputStream(bytes.size / EXPECTED_RATIO)
+        DeflaterOutputStream(out, deflater).use { it.write(bytes) }
+        deflater.end()
+        return Deflated(out.toByteArray())
+    }
+
+    private fun inflate(
+        body: Deflated,
+        maxBytes: Int,
+    ): Result<FrameBody, PeerError> {
+        val inflater = Inflater()
+        return try {
+            val bytes = InflaterInputStream(ByteArrayInputStream(body.bytes), inflater).readNBytes(maxBytes + 1)
+            if (bytes.size > maxBytes) Err(PeerError.TooLong(bytes.size)) else decode(FrameBody.serializer(), bytes)
+        } catch (e: IOException) {
+            Err(PeerError.Garbage(e.toString()))
+        } finally {
+            inflater.end()
+        }
+    }
 
     /** The decoder reports garbage by several exception types, also by that of reading past the end. */
     private fun <T> decode(
@@ -58,4 +101,13 @@
         } catch (e: StackOverflowError) {
             Err(PeerError.Garbage(e.toString()))
         }
+
+    /** Is the longest body that is taken; see [ControlPlaneSettings.maxFrameBytes]. */
+    private const val MAX_BODY_BYTES = 8 * 1024 * 1024
+
+    /** Shorter bodies fit into a few packets anyway. */
+    private const val MIN_DEFLATED_BYTES = 4_096
+
+    /** Configurations repeat names and take about a tenth of their length. */
+    private const val EXPECTED_RATIO = 8
 }
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/PeerMessages.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/PeerMessages.kt
@@ -8,8 +8,10 @@
 import dev.baobabhollow.model.NodeId
 import dev.baobabhollow.model.OrderedStage
 import dev.baobabhollow.model.OutcomeSummary
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
 
 /** Says which configuration state a node holds. [isConfirmed] is false until it was obtained from peers or the log. */
 @Serializable
@@ -50,11 +52,24 @@
 @Serializable
 internal sealed interface FrameBody
 
-/** Asks for what comes after [afterOffset]; answered by [Push], [WholeState], [NothingNew] or [Refused]. */
+/**
+ * Asks for what comes after [afterOffset]; answered by [Push], [WholeState], [NothingNew] or [Refused]. [takesChanges] is
+ * true if the records may hold changes in place of whole configurations, and [takesDeflated] if the answer may be [Deflated].
+ */
 @Serializable
 @SerialName("pull")
 internal data class Pull(
     val afterOffset: Long,
+    val takesChanges: Boolean = false,
+    val takesDeflated: Boolean = false,
+) : FrameBody
+
+/** Holds another body in CBOR, deflated. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+@SerialName("deflated")
+internal class Deflated(
+    @ByteString val bytes: ByteArray,
 ) : FrameBody
 
 /** Carries records; answered by [NothingNew] with the position of the receiver. */
--- a/peers/src/test/kotlin/dev/baobabhollow/peers/PeerCodecSpec.kt
+++ b/peers/src/test/kotlin/dev/baobabhollow/peers/PeerCodecSpec.kt
@@ -1,18 +1,23 @@
 package dev.baobabhollow.peers
 
 import com.github.michaelbull.result.fold
+import dev.baobabhollow.configuration.StateTransfer
 import dev.baobabhollow.membership.MembershipSettings
 import dev.baobabhollow.membership.OutgoingMessage
 import dev.baobabhollow.membership.membership
+import dev.baobabhollow.model.ConfigurationState
 import dev.baobabhollow.model.Endpoint
 import dev.baobabhollow.model.FailureDomainId
 import dev.baobabhollow.model.MoveId
 import dev.baobabhollow.model.NodeId
 import dev.baobabhollow.model.NodeRecord
 import dev.baobabhollow.model.NodeStatus
+import dev.baobabhollow.model.PatchResult
+import dev.baobabhollow.model.PatchVerdict
 import dev.baobabhollow.model.ReleaseId
 import dev.baobabhollow.model.ServiceId
 import dev.baobabhollow.model.TargetRecord
+import dev.baobabhollow.model.WriterId
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.ints.shouldBeGreaterThan
@@ -26,6 +31,17 @@
 import java.util.SplittableRandom
 import kotlin.time.Duration.Companion.seconds
 
+private fun verdict(number: Int) =
+    PatchVerdict(
+        WriterId("cli-$number"),
+        sequence = 1,
+        offset = number.toLong(),
+        operator = "ana",
+        baseVersion = number - 1L,
+        appendedAtMillis = 1_000L * number,
+        result = PatchResult.Accepted(number.toLong()),
+    )
+
 class PeerCodecSpec :
     DescribeSpec({
         fun recordOf(
@@ -46,6 +62,38 @@
             )
         }
 
+        describe("a long body that is deflated") {
+            val state = ConfigurationState(verdicts = List(100) { verdict(it) })
+            val whole = WholeState(StateTransfer(state, "hash"))
+            val deflated = PeerCodec.deflate(whole)
+            val frame = PeerFrame(NodeId("a"), FailureDomainId("z"), deflated)
+
+            it("is shorter, and comes out as it went in") {
+                val bytes = PeerCodec.encode(frame)
+                bytes.size * 4 shouldBeLessThanOrEqual PeerCodec.encode(frame.copy(body = whole)).size
+                PeerCodec.decodeFrame(bytes).fold({ it.body }, { it }) shouldBe whole
+            }
+
+            it("is left as it is where that saves little") {
+                PeerCodec.deflate(Refused(5)) shouldBe Refused(5)
+            }
+
+            // Guards against a few bytes that fill the memory of their receiver.
+            it("is not taken beyond the longest body") {
+                val bytes = PeerCodec.encode(frame)
+                PeerCodec.decodeFrame(bytes, maxBodyBytes = 1_000).fold({ it }, { it }) shouldBe
+                    PeerError.TooLong(1_001)
+            }
+
+            it("is garbage where its bytes are spoilt or cut off") {
+                val bytes = (deflated as Deflated).bytes
+                listOf(bytes.copyOf(bytes.size / 2), ByteArray(40) { 7 }).forEach {
+                    val spoilt = PeerCodec.encode(frame.copy(body = Deflated(it)))
+                    PeerCodec.decodeFrame(spoilt).fold({ "taken" }, { it::class }) shouldBe PeerError.Garbage::class
+                }
+            }
+        }
+
         // Guards against datagrams that are split on the way and lost as a whole when one part is lost.
         it("keeps every datagram within 1,200 bytes, also while nodes reconcile 13 full domains") {
             val random = SplittableRandom(7)
