Compile no routes when a target changes

Cause: the routing table made an object for each of 800 to 2,280 routes whenever the view of the fleet changed (362,560 bytes at 2,280), on the only core that calls have.

Now a table holds the configuration's routes and makes the one that a call needs. Prefixes are sorted anew only if a route is found in another way than before.

RoutingTableCostSpec failed before and passes now.

--- a/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
@@ -32,8 +32,7 @@
     val isReady: Boolean,
     /** Services by identifier. */
     val services: Map<ServiceId, RoutedService>,
-    /** Routes by identifier. */
-    val routes: Map<RouteId, Route>,
+    private val configs: Map<RouteId, RouteConfig>,
     private val targets: Map<NodeId, TargetEndpoint>,
     /** Limits of what callers may send, if the configuration states them. */
     val callerLimits: CallerLimits? = null,
@@ -42,13 +41,27 @@
     /** Nodes whose targets the table holds. */
     val nodes: Set<NodeId> get() = targets.keys
 
+    /** Identifiers of all routes of the configuration. */
+    val routeIds: Set<RouteId> get() = configs.keys
+
+    /**
+     * Returns the route [id] if the table holds its services. It is made for each call, since a table is compiled anew for
+     * each change of a target and most of its routes carry no calls until the next one.
+     */
+    fun route(id: RouteId): Route? {
+        val config = configs[id] ?: return null
+        val first = services[config.service] ?: return null
+        val parts = config.split.map { RoutedPart(services[it.service] ?: return null, it.weight) }
+        return Route(id, config, first, parts)
+    }
+
     /** Returns the route with the longest prefix of [path] among those of [host], else among those of no host, or null. */
     fun match(
         path: String,
         host: String? = null,
     ): Route? {
-        val ofHost = host?.let { matchers.ofHost[it.lowercase()]?.match(path)?.let(routes::get) }
-        return ofHost ?: matchers.ofHost[null]?.match(path)?.let(routes::get)
+        val ofHost = host?.let { matchers.ofHost[it.lowercase()]?.match(path)?.let(::route) }
+        return ofHost ?: matchers.ofHost[null]?.match(path)?.let(::route)
     }
 
     /** Returns the target beside [node] if the table holds it. */
@@ -69,7 +82,7 @@
             heldMoves: Set<MoveId>,
             previous: RoutingTable? = null,
         ): RoutingTable {
-            val matchers = previous?.matchers?.takeIf { it.mesh === state.mesh } ?: RouteMatchers(state.mesh)
+            val matchers = previous?.matchers?.following(state.mesh) ?: RouteMatchers(state.mesh)
             val selfDomain = view.nodes[view.self]?.failureDomain
             val targets = servingTargets(state, view)
             val byService = targets.groupBy { it.service }
@@ -95,10 +108,6 @@
                         nextPermille = if (move == null || moveId in heldMoves) 0 else move.sharePermille,
                     )
                 }
-            val routes =
-                state.mesh.routes
-                    .mapNotNull { (id, config) -> route(id, config, services)?.let { id to it } }
-                    .toMap()
             // An order can be read before the first configuration.
             val isReady = state.offset > NO_OFFSET && (state.version > 0 || state.orders.isEmpty())
             return RoutingTable(
@@ -106,23 +115,13 @@
                 view.revision,
                 isReady,
                 services,
-                routes,
+                state.mesh.routes,
                 targets.associateBy { it.node },
                 state.mesh.callerLimits,
                 matchers,
             )
         }
 
-        private fun route(
-            id: RouteId,
-            config: RouteConfig,
-            services: Map<ServiceId, RoutedService>,
-        ): Route? {
-            val first = services[config.service] ?: return null
-            val parts = config.split.map { RoutedPart(services[it.service] ?: return null, it.weight) }
-            return Route(id, config, first, parts)
-        }
-
         private fun servingTargets(
             state: ConfigurationState,
             view: FleetView,
@@ -156,18 +155,47 @@
 }
 
 /** Finds the routes of [mesh] by host, null being all hosts, and prefix. */
-internal class RouteMatchers(
+internal class RouteMatchers private constructor(
     val mesh: MeshConfig,
+    val ofHost: Map<String?, PrefixMatcher<RouteId>>,
 ) {
-    val ofHost: Map<String?, PrefixMatcher<RouteId>> =
-        mesh.routes.entries
-            .filter { (_, route) -> isHeld(route) }
-            .groupBy { (_, route) -> route.host?.lowercase() }
-            .mapValues { (_, routes) -> PrefixMatcher(routes.associate { (id, route) -> route.pathPrefix to id }) }
+    constructor(mesh: MeshConfig) : this(mesh, matchersOf(mesh))
 
-    /** A route to a service that is not there must not hide a shorter prefix. */
-    private fun isHeld(route: RouteConfig) =
-        route.service in mesh.services && route.split.all { it.service in mesh.services }
+    /** Returns the matchers of [next], which are these ones if no route is found in another way. */
+    fun following(next: MeshConfig): RouteMatchers =
+        when {
+            next === mesh -> this
+            isFoundAlike(next) -> RouteMatchers(next, ofHost)
+            else -> RouteMatchers(next)
+        }
+
+    private fun isFoundAlike(next: MeshConfig): Boolean {
+        if (next.services.keys != mesh.services.keys || next.routes.size != mesh.routes.size) return false
+        return next.routes.all { (id, route) ->
+            val before = mesh.routes[id] ?: return false
+            before === route || isFoundAlike(before, route)
+        }
+    }
+
+    private fun isFoundAlike(
+        before: RouteConfig,
+        route: RouteConfig,
+    ) = before.pathPrefix == route.pathPrefix && before.host == route.host &&
+        isHeld(mesh, before) == isHeld(mesh, route)
+
+    private companion object {
+        fun matchersOf(mesh: MeshConfig): Map<String?, PrefixMatcher<RouteId>> =
+            mesh.routes.entries
+                .filter { (_, route) -> isHeld(mesh, route) }
+                .groupBy { (_, route) -> route.host?.lowercase() }
+                .mapValues { (_, routes) -> PrefixMatcher(routes.associate { (id, route) -> route.pathPrefix to id }) }
+
+        /** A route to a service that is not there must not hide a shorter prefix. */
+        fun isHeld(
+            mesh: MeshConfig,
+            route: RouteConfig,
+        ) = route.service in mesh.services && route.split.all { it.service in mesh.services }
+    }
 }
 
 /** Holds a route with the service it leads to. */
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
@@ -95,7 +95,7 @@
         picker.retain(table.nodes)
         outliers.retain(table.nodes)
         budgets.retain(table.services.keys)
-        patience.retain(table.routes.keys)
+        patience.retain(table.routeIds)
     }
 
     fun close() {
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/OwnerExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/OwnerExchange.kt
@@ -52,7 +52,7 @@
         node.lagRefusal(front.loop)?.let { return refused(front, it) }
         val headers = head.headers()
         val target = node.self.target
-        val named = headers.get(MeshHeaders.ROUTE)?.let { node.tables().routes[RouteId(it)] }
+        val named = headers.get(MeshHeaders.ROUTE)?.let { node.tables().route(RouteId(it)) }
         val route = target?.let { named?.to(it.service) }
         if (route == null || target == null || !node.hasTarget) return refused(front, wrongTarget())
         val release = headers.get(MeshHeaders.RELEASE)?.let(::ReleaseId)
