Look for the departure of callers before a late node handles their requests

Cause: a late event loop reads a request and acts on it at once; the end of the same connection is read one round later. The lag of the loop was looked at, but only against a limit of 250 ms for each of the up to four loops and connects that a call passes, and it counted as zero from the moment at which the late timer had fired, although what the loop reads next came while it was late. Class: acting on a request without looking whether anybody still waits for it.

Now a request that is read while the loop is late by 50 ms or more is held until all connections have been read once more, at the entry node and at the owner; one whose connection has ended then is dropped. A late timer counts until it has fired in time again, for the refusals too.

Ruled out for the grown site: a late loop alone.

--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/FrontHandler.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/FrontHandler.kt
@@ -52,6 +52,9 @@
     private var isDiscarding = false
     private var isEndToSkip = false
     private var isTakingNext = false
+
+    /** True while a request that a late event loop has read waits for what else its connection holds. */
+    private var isHeld = false
     private var isClosed = false
 
     val loop: EventLoop get() = context.channel().eventLoop()
@@ -65,15 +68,32 @@
         ctx: ChannelHandlerContext,
         message: Any,
     ) {
-        val isQueued = pipelined.isNotEmpty() || (exchange != null && isRequestDone)
+        val isQueued = isHeld || pipelined.isNotEmpty() || (exchange != null && isRequestDone)
         when {
             isEndToSkip && message is LastHttpContent -> skipEnd(message)
             isDiscarding || isClosed -> discard(message)
             isQueued -> pipelined.addLast(message)
+            message is HttpRequest && node.isLate(loop) -> hold(message)
             else -> receive(message)
         }
     }
 
+    /**
+     * Keeps [request] until the event loop has read all connections once more. Its caller may have left while the loop was
+     * late, and the end of a connection is read one round after its last request.
+     */
+    private fun hold(request: HttpRequest) {
+        isHeld = true
+        pipelined.addLast(request)
+        // A task that another one schedules runs in the next round, after the connections have been read.
+        loop.schedule({ loop.schedule(::releaseHeld, 0, TimeUnit.MILLISECONDS) }, 0, TimeUnit.MILLISECONDS)
+    }
+
+    private fun releaseHeld() {
+        isHeld = false
+        if (!isClosed && context.channel().isActive) next()
+    }
+
     private fun skipEnd(message: LastHttpContent) {
         isEndToSkip = false
         message.release()
@@ -131,7 +151,8 @@
     /** Reads on unless the exchange cannot take more or another request waits. */
     fun updateReading() {
         if (isClosed) return
-        val isReading = isDiscarding || (pipelined.isEmpty() && (isRequestDone || exchange?.isWritable != false))
+        val isReading =
+            isDiscarding || isHeld || (pipelined.isEmpty() && (isRequestDone || exchange?.isWritable != false))
         val config = context.channel().config()
         if (config.isAutoRead != isReading) config.isAutoRead = isReading
     }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/LoopLag.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/LoopLag.kt
@@ -15,20 +15,29 @@
     private val nowMillis: () -> Long,
 ) {
     private var lastTickMillis = nowMillis()
+    private var lastLagMillis = 0L
     private val longest = AtomicLong()
 
-    /** Time in milliseconds by which the timer is overdue. */
-    val millis: Long get() = (nowMillis() - lastTickMillis - PERIOD_MILLIS).coerceAtLeast(0)
+    /**
+     * Time in milliseconds by which the timer is overdue, or was when it fired last: what the loop reads after a late timer
+     * came while it was late.
+     */
+    val millis: Long get() = maxOf(lastLagMillis, lagAt(nowMillis()))
 
     fun start(loop: EventLoop) {
         loop.scheduleWithFixedDelay(::tick, 0, PERIOD_MILLIS, TimeUnit.MILLISECONDS)
     }
 
-    private fun tick() {
-        longest.accumulateAndGet(millis, ::maxOf)
-        lastTickMillis = nowMillis()
+    /** Notes that the timer has fired. */
+    fun tick() {
+        val now = nowMillis()
+        lastLagMillis = lagAt(now)
+        lastTickMillis = now
+        longest.accumulateAndGet(lastLagMillis, ::maxOf)
     }
 
+    private fun lagAt(nowMillis: Long) = (nowMillis - lastTickMillis - PERIOD_MILLIS).coerceAtLeast(0)
+
     /** Returns the longest lag in milliseconds since the last call. Safe to call on any thread. */
     fun takeLongest(): Long = longest.getAndSet(0)
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
@@ -73,6 +73,9 @@
         return LoopPools(OwnerPools(loop, settings, nowMillis), target, LoopLag(nowMillis))
     }
 
+    /** Tells whether [loop] is so late that callers of what it reads may have left. Called on that loop. */
+    fun isLate(loop: EventLoop): Boolean = pools(loop).lag.millis >= settings.lateLoopMillis
+
     /** Returns the refusal of a new call while [loop] is too far behind, or null. Called on that loop. */
     fun lagRefusal(loop: EventLoop): CallFailure? {
         val limit = settings.maxLoopLagMillis ?: return null
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxySettings.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxySettings.kt
@@ -55,6 +55,11 @@
     val absentRoomMillis: Long? = null,
     /** Lag of the event loop above which calls are refused as not run, or null for no such limit. */
     val maxLoopLagMillis: Long? = null,
+    /**
+     * Lag of the event loop from which on a request waits until all connections have been read once more, because its caller
+     * may have left. A tenth of the half second within which that must be noticed, since a call passes several loops.
+     */
+    val lateLoopMillis: Long = 50,
     /** True if idempotent calls are also sent again when a target answers with a server error. */
     val repeatsServerErrors: Boolean = false,
     /** True if a refusal by an owner node, which no target has seen, takes a retry from the budget. */
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/ForeignProtocolSpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/ForeignProtocolSpec.kt
@@ -165,6 +165,19 @@
                 now += 300
                 lag.millis shouldBe 300
             }
+
+            // Guards against old requests that are read just after the timer has fired late.
+            it("counts a late timer until it has fired in time") {
+                var now = 1_000L
+                val lag = LoopLag { now }
+                now += 350
+                lag.tick()
+                lag.millis shouldBe 300
+                now += 50
+                lag.tick()
+                lag.millis shouldBe 0
+                lag.takeLongest() shouldBe 300
+            }
         }
 
         describe("an answer that is not what its target meant to send") {
