Share the slack of the retry budget between all nodes

Targets of pedidos were refusing more than half of their calls.

Cause: each node used half of the allowed share and could save up two retries for each service. A repeated call makes its nested calls again, which count as repeats at the nested service, so two levels used the whole share, and what is saved up grew with the number of nodes while the allowed slack does not.

Now two levels use nine tenths of the share, and what all nodes together may save up is their part of the slack, which the platform states; each node can always save one retry.

--- a/calls/src/main/kotlin/dev/baobabhollow/calls/CallSettings.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/CallSettings.kt
@@ -59,6 +59,8 @@
     val minimumPerSecond: Int = 2,
     /** Most retries that can be saved up. */
     val maxSavedRetries: Int = 50,
+    /** Most retries that all nodes together can save up, if that is limited; each node can always save one. */
+    val sharedSavedRetries: Double? = null,
 )
 
 /** Configures admission at the owner of a target. */
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/RetryBudget.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/RetryBudget.kt
@@ -4,13 +4,18 @@
 import java.util.concurrent.ConcurrentHashMap
 
 /**
- * Limits the retries of one service to a fraction of its calls. Every call saves a part of a retry. Safe for use by
- * several threads.
+ * Limits the retries of one service to a fraction of its calls. Every call saves a part of a retry. [nodes] returns the
+ * number of nodes that share what may be saved. Safe for use by several threads.
  */
 class RetryBudget(
     private val settings: RetryBudgetSettings,
+    private val nodes: () -> Int = { 1 },
 ) {
-    private val capacity = settings.maxSavedRetries.toLong() * RETRY
+    private val capacity: Long
+        get() {
+            val shared = settings.sharedSavedRetries ?: return settings.maxSavedRetries * RETRY
+            return (shared / nodes().coerceAtLeast(1) * RETRY).toLong().coerceAtLeast(RETRY)
+        }
     private var saved = 0L
     private var secondEndMillis = Long.MIN_VALUE
     private var minimumLeft = 0
@@ -49,9 +54,13 @@
 ) {
     private val budgets = ConcurrentHashMap<ServiceId, RetryBudget>()
 
+    /** Number of nodes that share what may be saved. */
+    @Volatile
+    var nodes = 1
+
     /** Returns the budget of [service]. */
     fun of(service: ServiceId): RetryBudget =
-        budgets[service] ?: budgets.computeIfAbsent(service) { RetryBudget(settings) }
+        budgets[service] ?: budgets.computeIfAbsent(service) { RetryBudget(settings, ::nodes) }
 
     /** Forgets all services but [services]. */
     fun retain(services: Set<ServiceId>) {
--- a/node/src/main/kotlin/dev/baobabhollow/node/NodeSettings.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/NodeSettings.kt
@@ -57,10 +57,14 @@
     val heartbeatSeconds: Double = 1.5,
 )
 
-/** Bounds what all nodes together may send to targets beyond the first attempts: [share] of the calls to a service. */
+/**
+ * Bounds what all nodes together may send to targets beyond the first attempts within some seconds: [share] of the calls to
+ * a service, and [slack] attempts more, or two for each node if that is null.
+ */
 @Serializable
 data class RetrySettings(
     val share: Double = 0.2,
+    val slack: Int? = null,
 )
 
 /**
--- a/node/src/main/kotlin/dev/baobabhollow/node/PlatformTuning.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/PlatformTuning.kt
@@ -12,10 +12,13 @@
 
 private const val FULL_PERMILLE = 1_000
 
-/** Part of the shared retry budget that nodes use; the rest covers attempts that nested calls repeat. */
-private const val USED_RETRY_SHARE = 0.5
+/**
+ * Part of the shared retry budget that the nodes use for one service. Nested calls of a repeated call count as repeats too,
+ * so two levels together use nine tenths; the rest covers the one retry that each node may always save up.
+ */
+private const val USED_RETRY_SHARE = 0.45
 
-/** Retries that one node may save up. Platforms allow some retries at once beyond the share: about two for each node. */
+/** Retries that one node may save up where the settings state no slack. */
 private const val SAVED_RETRIES = 2
 
 internal fun proxySettings(
@@ -63,6 +66,7 @@
                 ratioPermille = (retries.share * USED_RETRY_SHARE * FULL_PERMILLE).toInt(),
                 minimumPerSecond = 0,
                 maxSavedRetries = SAVED_RETRIES,
+                sharedSavedRetries = retries.slack?.let { it * USED_RETRY_SHARE },
             ),
         admission = AdmissionSettings(uploadSlotsPermille = FULL_PERMILLE, initialServiceMicros = 60_000),
     )
--- a/node/src/main/kotlin/dev/baobabhollow/node/SettingsValidation.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/SettingsValidation.kt
@@ -33,7 +33,10 @@
     }
 
 private fun retryErrors(retries: RetrySettings): List<ConfigError> =
-    if (retries.share >= 0) emptyList() else listOf(ConfigError("$.retries.share", "${retries.share}", "0 or more"))
+    buildList {
+        if (retries.share < 0) add(ConfigError("$.retries.share", "${retries.share}", "0 or more"))
+        retries.slack?.let { if (it < 0) add(ConfigError("$.retries.slack", "$it", "0 or more")) }
+    }
 
 private fun identifier(
     path: String,
--- a/node/src/test/kotlin/dev/baobabhollow/node/SettingsSpec.kt
+++ b/node/src/test/kotlin/dev/baobabhollow/node/SettingsSpec.kt
@@ -25,7 +25,7 @@
      "readiness":"10.1.0.8:8302",
      "announcedTarget":{"endpoint":"10.1.0.8:8301","service":"huvo11a","announcements":"10.1.0.8:8306",
                         "heartbeatSeconds":1.5},
-     "retries":{"share":0.2},"limits":{"stopWithinSeconds":6}}
+     "retries":{"share":0.2,"slack":56},"limits":{"stopWithinSeconds":6}}
     """.trimIndent()
 
 class SettingsSpec :
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
@@ -98,6 +98,7 @@
         picker.retain(table.nodes)
         outliers.retain(table.nodes)
         budgets.retain(table.services.keys)
+        budgets.nodes = table.nodes.size
         patience.retain(table.routeIds)
     }
 
