Accept a slack of retries that is a fraction

Bounds of the platform may be fractions.

SettingsSpec failed before to read such settings and passes now.

--- a/node/src/main/kotlin/dev/baobabhollow/node/NodeSettings.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/NodeSettings.kt
@@ -64,7 +64,7 @@
 @Serializable
 data class RetrySettings(
     val share: Double = 0.2,
-    val slack: Int? = null,
+    val slack: Double? = null,
 )
 
 /**
--- a/node/src/test/kotlin/dev/baobabhollow/node/SettingsSpec.kt
+++ b/node/src/test/kotlin/dev/baobabhollow/node/SettingsSpec.kt
@@ -65,12 +65,22 @@
                 settings.limits.stopWithinSeconds shouldBe 6.0
             }
 
+            // Guards against nodes that do not start because the platform states one of its bounds as a fraction.
+            it("accepts bounds of the platform that are fractions") {
+                val text = RENDERED_SETTINGS.replace("\"slack\":56", "\"slack\":35.18518518518518")
+                parseSettings(text).unwrap().retries?.slack shouldBe 35.18518518518518
+            }
+
             it("requires the target that announces itself, and no other, on the consortium's platform") {
                 val without = RENDERED_SETTINGS.replace(Regex("\"announcedTarget\":\\{[^}]*},"), "")
                 parseSettings(without).unwrapError().map { it.path } shouldBe listOf("$.announcedTarget")
-                val negative = RENDERED_SETTINGS.replace("\"share\":0.2", "\"share\":-1").replace("1.5", "0")
+                val negative =
+                    RENDERED_SETTINGS
+                        .replace("\"share\":0.2", "\"share\":-1")
+                        .replace("\"slack\":56", "\"slack\":-2")
+                        .replace("1.5", "0")
                 parseSettings(negative).unwrapError().map { it.path } shouldContainExactlyInAnyOrder
-                    listOf("$.announcedTarget.heartbeatSeconds", "$.retries.share")
+                    listOf("$.announcedTarget.heartbeatSeconds", "$.retries.share", "$.retries.slack")
             }
 
             it("names the nearest known key for a misspelt one") {
--- a/node/src/test/kotlin/dev/baobabhollow/node/SharedRetriesSpec.kt
+++ b/node/src/test/kotlin/dev/baobabhollow/node/SharedRetriesSpec.kt
@@ -25,7 +25,7 @@
 ) {
     private val tuning =
         proxySettings(
-            parseSettings(RENDERED_SETTINGS).unwrap().copy(retries = RetrySettings(SHARE, deployment.slack)),
+            parseSettings(RENDERED_SETTINGS).unwrap().copy(retries = RetrySettings(SHARE, deployment.slack.toDouble())),
             MeshProtocol,
         ).retries
     private val nodes = List(deployment.nodes) { RetryBudgets(tuning).also { it.nodes = deployment.nodes } }
