Count held requests as calls in flight, so that a stop waits for them

A stop closes the connections once no call is in flight. A request that a late event loop has read and holds for one round was not counted, so a stop in that round could have closed its connection without an answer. Found by reading, not seen in a run. The specs of the proxy pass.

--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/FrontHandler.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/FrontHandler.kt
@@ -84,6 +84,8 @@
      */
     private fun hold(request: HttpRequest) {
         isHeld = true
+        // A stop must wait for it like for a call.
+        node.exchangeStarted()
         pipelined.addLast(request)
         afterNextRound(::releaseHeld)
     }
@@ -96,6 +98,7 @@
     private fun releaseHeld() {
         isHeld = false
         if (!isClosed && context.channel().isActive) next()
+        node.exchangeEnded()
     }
 
     private fun skipEnd(message: LastHttpContent) {
