Tell all nodes when the soak ends a cut between domains

The logs show that the nodes after one that was paused, or killed, had not got the order to end the cut: the loop over the nodes ended at the first that did not answer, and no later step repeated it. They went on dropping messages of the other domain, as they had been told.

Now the order goes to all nodes, and once more after the last fault, when all of them run. The check and its bound are the same.

--- a/cli/src/main/kotlin/dev/baobabhollow/cli/faults/Fault.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/faults/Fault.kt
@@ -1,5 +1,6 @@
 package dev.baobabhollow.cli.faults
 
+import dev.baobabhollow.cli.demo.DemoNode
 import dev.baobabhollow.cli.fail
 
 /**
@@ -98,13 +99,22 @@
     cluster.post(cluster.log, "/trim", "{\"stream\":\"configuration\",\"beforeOffset\":$end}")
 }
 
-internal fun cutDomains(cluster: FaultCluster) {
-    cluster.nodes.forEach { node ->
+internal fun cutDomains(cluster: FaultCluster) =
+    setNodeFaults(cluster) { node ->
         val other = if (node.domain == HEALTHY_DOMAIN) FAULTY_DOMAIN else HEALTHY_DOMAIN
-        val body = "{\"dropControl\":[\"$other\"],\"dropCalls\":[\"$other\"]}"
-        cluster.post(node.operator, "/faults", body)
+        "{\"dropControl\":[\"$other\"],\"dropCalls\":[\"$other\"]}"
     }
-}
 
-internal fun joinDomains(cluster: FaultCluster) =
-    cluster.nodes.forEach { cluster.post(it.operator, "/faults", NO_NODE_FAULTS) }
+internal fun joinDomains(cluster: FaultCluster) = setNodeFaults(cluster) { NO_NODE_FAULTS }
+
+/** Tells all nodes, also those after one that does not answer, and fails with the first error. */
+private fun setNodeFaults(
+    cluster: FaultCluster,
+    faultsOf: (DemoNode) -> String,
+) {
+    val errors =
+        cluster.nodes.mapNotNull { node ->
+            runCatching { cluster.post(node.operator, "/faults", faultsOf(node)) }.exceptionOrNull()
+        }
+    errors.firstOrNull()?.let { throw it }
+}
--- a/cli/src/main/kotlin/dev/baobabhollow/cli/faults/Soak.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/faults/Soak.kt
@@ -50,6 +50,8 @@
             load.start()
             operator.start()
             val playFailure = brokenStep { play(cluster, plan) }
+            // Nodes that were paused when a cut ended have not been told.
+            tolerant { joinDomains(cluster) }
             operator.stop()
             load.stop()
             val failure = playFailure ?: brokenStep { seen = judge(cluster, load, operator, watch) }
