Read a change between versions that stands in the log as unreadable

A change fits one version only. If somebody wrote one to the log, each reader would reject its batch again and again, and the domain would get no later version. The new part of SmallChangeSpec was written with the mend.

--- a/configuration/src/main/kotlin/dev/baobabhollow/configuration/ConfigurationReplica.kt
+++ b/configuration/src/main/kotlin/dev/baobabhollow/configuration/ConfigurationReplica.kt
@@ -48,20 +48,18 @@
         return OfferResult.Applied(state)
     }
 
-    /** Returns [entry] with a whole configuration, or null if it holds a change that [state] does not become it by. */
+    /** Returns [entry] with a whole configuration, or null if it holds a change that does not fit [state]. */
     private fun expanded(
         entry: LogEntry,
         state: ConfigurationState,
     ): LogEntry? {
-        val body = entry.record.body
-        val mesh =
-            when (body) {
-                is ConfigurationRecord -> body.mesh.sharing(state.mesh)
-                is MeshChangeRecord -> changed(body, state) ?: return null
+        val whole =
+            when (val body = entry.record.body) {
+                is ConfigurationRecord -> body.copy(mesh = body.mesh.sharing(state.mesh))
+                is MeshChangeRecord -> ConfigurationRecord(body.version, changed(body, state) ?: return null)
                 else -> return entry
             }
-        val version = if (body is MeshChangeRecord) body.version else (body as ConfigurationRecord).version
-        return entry.copy(record = entry.record.copy(body = ConfigurationRecord(version, mesh)))
+        return entry.copy(record = entry.record.copy(body = whole))
     }
 
     private fun changed(
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
@@ -12,6 +12,7 @@
 import dev.baobabhollow.model.Endpoint
 import dev.baobabhollow.model.LogBatch
 import dev.baobabhollow.model.LogEntry
+import dev.baobabhollow.model.MeshChangeRecord
 import dev.baobabhollow.model.NodeRecord
 import dev.baobabhollow.model.UnreadableRecord
 import org.apache.logging.log4j.LogManager
@@ -175,10 +176,17 @@
         batch: LogBatch,
         view: FleetView,
     ) {
-        if (batch.entries.isNotEmpty()) take(RecordBatch(afterOffset, batch.entries), view, Origin.LOG)
+        val entries = batch.entries.map(::readableInLog)
+        if (entries.isNotEmpty()) take(RecordBatch(afterOffset, entries), view, Origin.LOG)
         if (position.offset + 1 >= batch.nextOffset) confirm()
     }
 
+    /** Changes fit one version only and belong between nodes; whoever writes one to the log must not stop its readers. */
+    private fun readableInLog(entry: LogEntry): LogEntry {
+        if (entry.record.body !is MeshChangeRecord) return entry
+        return entry.copy(record = entry.record.copy(body = UnreadableRecord("a change between versions")))
+    }
+
     fun takeLogState(state: ConfigurationState) {
         if (state.offset > position.offset) take(StateTransfer(state, contentHash(state)), Origin.LOG)
         confirm()
--- a/peers/src/test/kotlin/dev/baobabhollow/peers/SmallChangeSpec.kt
+++ b/peers/src/test/kotlin/dev/baobabhollow/peers/SmallChangeSpec.kt
@@ -5,6 +5,8 @@
 import dev.baobabhollow.model.LogRecord
 import dev.baobabhollow.model.MemberConfig
 import dev.baobabhollow.model.MemberId
+import dev.baobabhollow.model.MeshChange
+import dev.baobabhollow.model.MeshChangeRecord
 import dev.baobabhollow.model.MeshConfig
 import dev.baobabhollow.model.RouteConfig
 import dev.baobabhollow.model.RouteId
@@ -64,5 +66,18 @@
                     }
                 }
             }
+
+            // Guards against a record that no version fits and at which all readers of the log stop.
+            it("are followed after a change that somebody has written to the log") {
+                TestFleet(settings = TestFleet.SETTINGS.copy(announcesRecords = true)).use { fleet ->
+                    fleet.log.publish(1)
+                    val change = MeshChangeRecord(7, 8, MeshChange(), meshHash = "none")
+                    fleet.log.append(LogRecord(WriterId("operator"), 2, change))
+                    fleet.log.publish(3)
+                    fleet.reserve("a-1", "a-2")
+                    fleet.startAll()
+                    fleet.awaitAll { it.plane.state.version == 3L }
+                }
+            }
         }
     })
