Stop event loops in DepartedCallerSpec until the callers have left

The stalls had a fixed length of 150 ms, so that on a busy machine a caller could have closed its connection after the stall, and the test would have failed without a fault. A stall now lasts until the callers have left, and 150 ms longer. No limit of lag refuses calls any more, so only the look for departed callers keeps them from the targets.

--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/DepartedCallerSpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/DepartedCallerSpec.kt
@@ -3,33 +3,47 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import java.net.Socket
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicReference
+import kotlin.concurrent.thread
 
-/** Is below the lag at which calls are refused, so only the closed connection tells that the caller has left. */
+/** Is longer than the lag from which on a loop is late, and time enough for what is sent before to arrive. */
 private const val STALL_MILLIS = 150L
 private const val ROUNDS = 8
 private const val WAIT_SECONDS = 5L
 
+/** No call is refused for a late loop here, so only the closed connection tells that the caller has left. */
+private val SETTINGS = ProxySettings(LOOPBACK_ANY, eventLoops = 1, maxLoopLagMillis = null)
+
 /** Stops the event loop that asks for the time next, as a busy processor does. */
 private class StallingClock : () -> Long {
-    private val stalled = AtomicReference<CountDownLatch?>()
+    private class Stall {
+        val begun = CountDownLatch(1)
+        val ended = CountDownLatch(1)
+    }
+
+    private val next = AtomicReference<Stall?>()
 
     override fun invoke(): Long {
-        stalled.getAndSet(null)?.let {
-            it.countDown()
+        next.getAndSet(null)?.let {
+            it.begun.countDown()
+            it.ended.await(WAIT_SECONDS, TimeUnit.SECONDS)
             Thread.sleep(STALL_MILLIS)
         }
         return System.currentTimeMillis()
     }
 
-    fun stall() {
-        val begun = CountDownLatch(1)
-        stalled.set(begun)
-        begun.await(1, TimeUnit.SECONDS) shouldBe true
+    /** Runs [step] while a loop is stopped. */
+    fun stallDuring(step: () -> Unit) {
+        val stall = Stall()
+        next.set(stall)
+        stall.begun.await(WAIT_SECONDS, TimeUnit.SECONDS) shouldBe true
+        step()
+        stall.ended.countDown()
     }
 }
 
@@ -41,14 +55,12 @@
                 val runs = AtomicInteger()
                 val target = ScriptedTarget.answering(runs) { answer("ok") }
                 val clock = StallingClock()
-                val settings = ProxySettings(LOOPBACK_ANY, eventLoops = 1, maxLoopLagMillis = 250)
-                TestMesh(listOf(target.port), settings = settings, nowMillis = clock).use { mesh ->
+                TestMesh(listOf(target.port), settings = SETTINGS, nowMillis = clock).use { mesh ->
                     repeat(ROUNDS) { round ->
-                        Socket("127.0.0.1", mesh.port).use { caller ->
-                            clock.stall()
-                            caller.getOutputStream().write(
-                                "GET /stock/$round HTTP/1.1\r\nHost: h\r\n\r\n".toByteArray(),
-                            )
+                        val caller = Socket("127.0.0.1", mesh.port)
+                        clock.stallDuring {
+                            caller.getOutputStream().write(request(round))
+                            caller.close()
                         }
                         Thread.sleep(STALL_MILLIS * 2)
                     }
@@ -61,11 +73,13 @@
             it("is served if its caller waits") {
                 val target = ScriptedTarget.answering { answer("ok") }
                 val clock = StallingClock()
-                val settings = ProxySettings(LOOPBACK_ANY, eventLoops = 1, maxLoopLagMillis = 250)
-                TestMesh(listOf(target.port), settings = settings, nowMillis = clock).use { mesh ->
+                TestMesh(listOf(target.port), settings = SETTINGS, nowMillis = clock).use { mesh ->
                     repeat(ROUNDS) { round ->
-                        clock.stall()
-                        call(mesh.port, "/stock/$round")?.body shouldBe "ok"
+                        val answer = CompletableFuture<String?>()
+                        clock.stallDuring {
+                            thread { answer.complete(call(mesh.port, "/stock/$round")?.body) }
+                        }
+                        answer.get(WAIT_SECONDS, TimeUnit.SECONDS) shouldBe "ok"
                     }
                 }
                 target.close()
@@ -79,40 +93,32 @@
                 val clock = StallingClock()
                 val isArrived = LinkedBlockingQueue<Unit>()
                 val isLeft = LinkedBlockingQueue<Unit>()
-                val failing =
-                    ScriptedTarget { wire ->
-                        wire.read() ?: return@ScriptedTarget
-                        runs.incrementAndGet()
-                        isArrived.put(Unit)
-                        isLeft.poll(WAIT_SECONDS, TimeUnit.SECONDS)
-                    }
-                val other =
-                    ScriptedTarget { wire ->
-                        wire.read() ?: return@ScriptedTarget
-                        runs.incrementAndGet()
-                        isArrived.put(Unit)
-                        isLeft.poll(WAIT_SECONDS, TimeUnit.SECONDS)
+                val targets =
+                    List(2) {
+                        ScriptedTarget { wire ->
+                            wire.read() ?: return@ScriptedTarget
+                            runs.incrementAndGet()
+                            isArrived.put(Unit)
+                            isLeft.poll(WAIT_SECONDS, TimeUnit.SECONDS)
+                        }
                     }
-                val settings = ProxySettings(LOOPBACK_ANY, eventLoops = 1, maxLoopLagMillis = 250)
-                val ports = listOf(failing.port, other.port)
-                TestMesh(ports, settings = settings, entryNowMillis = clock).use { mesh ->
+                TestMesh(targets.map { it.port }, settings = SETTINGS, entryNowMillis = clock).use { mesh ->
                     repeat(ROUNDS) { round ->
-                        Socket("127.0.0.1", mesh.port).use { caller ->
-                            caller.getOutputStream().write(
-                                "GET /stock/$round HTTP/1.1\r\nHost: h\r\n\r\n".toByteArray(),
-                            )
-                            isArrived.poll(WAIT_SECONDS, TimeUnit.SECONDS)
-                            clock.stall()
+                        val caller = Socket("127.0.0.1", mesh.port)
+                        caller.getOutputStream().write(request(round))
+                        isArrived.poll(WAIT_SECONDS, TimeUnit.SECONDS)
+                        clock.stallDuring {
                             isLeft.put(Unit)
-                            Thread.sleep(STALL_MILLIS / 3)
+                            caller.close()
                         }
                         Thread.sleep(STALL_MILLIS * 2)
                         isArrived.poll()?.let { isLeft.put(it) }
                     }
                 }
                 runs.get() shouldBe ROUNDS
-                failing.close()
-                other.close()
+                targets.forEach { it.close() }
             }
         }
     })
+
+private fun request(round: Int) = "GET /stock/$round HTTP/1.1\r\nHost: h\r\n\r\n".toByteArray()
