Split answers to pulls off, and take out what the change wrote twice

- Dissemination asks for and takes configurations; PullAnswers answers the pulls of peers.
An answer that is a whole state no longer makes the records that it replaces.
- How long a call waited for a connection was measured in UpstreamCall beside the times that its callers keep; they work it out themselves.
- The two duties of a node that must not end by an exception share one schedule; each had a try of its own.
- The longest body of a deflated frame comes from the settings; the codec repeated the figure.

--- a/configuration/src/main/kotlin/dev/baobabhollow/configuration/ConfigurationReplica.kt
+++ b/configuration/src/main/kotlin/dev/baobabhollow/configuration/ConfigurationReplica.kt
@@ -95,13 +95,11 @@
     }
 
     /**
-     * Returns the same as [recordsAfter], with what has changed since [offset] in place of a whole configuration where most
-     * of it is the same.
+     * Returns [batch], which [recordsAfter] has returned, with what has changed since its offset in place of a whole
+     * configuration where most of it is the same.
      */
-    fun changesAfter(offset: Long): RecordBatch? {
-        val records = recordsAfter(offset) ?: return null
-        return records.copy(entries = records.entries.map { recent.shortened(it, offset, state, hasher) })
-    }
+    fun shortened(batch: RecordBatch): RecordBatch =
+        batch.copy(entries = batch.entries.map { recent.shortened(it, batch.afterOffset, state, hasher) })
 
     /** Returns the whole state for a peer that is too far behind for [recordsAfter]. */
     fun transfer(): StateTransfer = StateTransfer(state, contentHash)
--- a/configuration/src/test/kotlin/dev/baobabhollow/configuration/MeshChangeSpec.kt
+++ b/configuration/src/test/kotlin/dev/baobabhollow/configuration/MeshChangeSpec.kt
@@ -99,10 +99,11 @@
             builder.add(ConfigurationRecord(2, first.withOneChange(1)))
             leader.offer(RecordBatch(0, builder.entries.drop(1)))
 
+            fun changesAfter(offset: Long) = leader.shortened(leader.recordsAfter(offset)!!)
+
             it("sends what has changed since the version that the peer holds") {
                 val body =
-                    leader
-                        .changesAfter(0)!!
+                    changesAfter(0)
                         .entries
                         .single()
                         .record.body
@@ -111,7 +112,7 @@
 
             // Guards against a peer that holds another state than the sender, or serves a change to a third node.
             it("leads the peer to the same state, and the peer serves whole configurations again") {
-                peer.offer(leader.changesAfter(0)!!).shouldBeInstanceOf<OfferResult.Applied>()
+                peer.offer(changesAfter(0)).shouldBeInstanceOf<OfferResult.Applied>()
                 peer.state shouldBe leader.state
                 peer.contentHash shouldBe leader.contentHash
                 peer
@@ -129,7 +130,7 @@
             }
 
             it("sends whole configurations to a peer whose version it does not remember") {
-                leader.changesAfter(-1)!!.entries.map { it.record.body::class } shouldBe
+                changesAfter(-1).entries.map { it.record.body::class } shouldBe
                     listOf(ConfigurationRecord::class)
             }
 
@@ -139,7 +140,7 @@
                 val foreign = LogBuilder().add(ConfigurationRecord(1, randomMesh(Random(9))))
                 other.offer(RecordBatch(-1, foreign.entries))
                 val before = other.state
-                other.offer(leader.changesAfter(0)!!).shouldBeInstanceOf<OfferResult.Rejected>()
+                other.offer(changesAfter(0)).shouldBeInstanceOf<OfferResult.Rejected>()
                 other.state shouldBe before
             }
         }
--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -115,8 +115,8 @@
         directoryDuty?.start()
         targetDuty?.start()
         val countMillis = if (settings.platform == PlatformKind.OWN) COUNT_MILLIS else FAST_COUNT_MILLIS
-        duties.scheduleWithFixedDelay(::passOnCounts, countMillis, countMillis, TimeUnit.MILLISECONDS)
-        duties.scheduleWithFixedDelay(::notePressure, PRESSURE_MILLIS, PRESSURE_MILLIS, TimeUnit.MILLISECONDS)
+        schedule(countMillis, "count_failed", ::passOnCounts)
+        schedule(PRESSURE_MILLIS, "pressure_unknown", ::notePressure)
         EventLog.write(
             "node_started",
             "failureDomain" to settings.failureDomain,
@@ -265,31 +265,36 @@
         }
     }
 
-    private fun passOnCounts() {
-        val server = proxy ?: return
-        try {
-            server.drainOutcomes(nowMillis()).forEach { summary ->
-                targetDuty?.observe(summary)
-                control.observe(summary)
+    /** Runs [duty] every [periodMillis], and writes [failed] where it throws: an exception would end the schedule. */
+    private fun schedule(
+        periodMillis: Long,
+        failed: String,
+        duty: (ProxyServer) -> Unit,
+    ) {
+        val guarded =
+            Runnable {
+                try {
+                    proxy?.let(duty)
+                } catch (e: RuntimeException) {
+                    EventLog.write(failed, level = Level.ERROR, cause = e)
+                }
             }
-            burn.sample(server.burnCounts(), nowMillis())
-            announcements?.checkSilence()
-        } catch (e: RuntimeException) {
-            // An exception would end the schedule, and the move leads would get no more outcomes of this target.
-            EventLog.write("count_failed", level = Level.ERROR, cause = e)
-        }
+        duties.scheduleWithFixedDelay(guarded, periodMillis, periodMillis, TimeUnit.MILLISECONDS)
     }
 
-    private fun notePressure() {
-        val server = proxy ?: return
-        try {
-            val pressure = Pressure(server.takeLongestLag(), control.takeWork(), server.inFlight)
-            metrics.count(pressure)
-            pressureLog.note(pressure)
-        } catch (e: RuntimeException) {
-            // An exception would end the schedule.
-            EventLog.write("pressure_unknown", level = Level.ERROR, cause = e)
+    private fun passOnCounts(server: ProxyServer) {
+        server.drainOutcomes(nowMillis()).forEach { summary ->
+            targetDuty?.observe(summary)
+            control.observe(summary)
         }
+        burn.sample(server.burnCounts(), nowMillis())
+        announcements?.checkSilence()
+    }
+
+    private fun notePressure(server: ProxyServer) {
+        val pressure = Pressure(server.takeLongestLag(), control.takeWork(), server.inFlight)
+        metrics.count(pressure)
+        pressureLog.note(pressure)
     }
 
     private companion object {
--- a/node/src/main/kotlin/dev/baobabhollow/node/NodeMetrics.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/NodeMetrics.kt
@@ -7,24 +7,10 @@
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 
-/** Shows values of the node that others count: they are read when the metrics are scraped. */
+/** Counts how late the node is, and shows values that others count: they are read when the metrics are scraped. */
 internal class NodeMetrics(
     private val registry: PrometheusRegistry,
 ) {
-    /** Shows [value] as the gauge baobabhollow_[name]. */
-    fun gauge(
-        name: String,
-        help: String,
-        value: () -> Number,
-    ) {
-        GaugeWithCallback
-            .builder()
-            .name("baobabhollow_$name")
-            .help(help)
-            .callback { it.call(value().toDouble()) }
-            .register(registry)
-    }
-
     private val loopLag =
         Histogram
             .builder()
@@ -39,6 +25,20 @@
             .help("Time that the control thread has worked")
             .register(registry)
 
+    /** Shows [value] as the gauge baobabhollow_[name]. */
+    fun gauge(
+        name: String,
+        help: String,
+        value: () -> Number,
+    ) {
+        GaugeWithCallback
+            .builder()
+            .name("baobabhollow_$name")
+            .help(help)
+            .callback { it.call(value().toDouble()) }
+            .register(registry)
+    }
+
     /** Counts how late the node was in one period. */
     fun count(pressure: Pressure) {
         loopLag.observe(pressure.loopLagMillis / MILLIS_PER_SECOND)
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
@@ -32,16 +32,13 @@
 ) {
     private val replica = ConfigurationReplica()
     private val backoff = Backoff(settings.minBackoffMillis, settings.maxBackoffMillis, random)
-    private val limit = TransferLimit(settings.transfersPerSecond)
+    private val answers = PullAnswers(replica, settings, metrics)
     private var ahead: Endpoint? = null
     private var isPulling = false
     private var pulledFrom: Endpoint? = null
 
     /** True after a change that did not fit, until a whole configuration has been taken. */
     private var needsWhole = false
-
-    /** Answers to pulls from the present position, which most peers ask for at about the same offset. */
-    private val answers = HashMap<Pull, FrameBody>()
     private var nextPullAtMillis = 0L
 
     /** Offset of the last divergence that was logged; peers repeat theirs with each datagram. */
@@ -165,7 +162,7 @@
         nowMillis: Long,
     ): FrameBody =
         when (body) {
-            is Pull -> answerPull(body, nowMillis)
+            is Pull -> answers.answer(body, position, nowMillis)
             is Push -> answerPush(body, view)
             else -> NothingNew(position)
         }
@@ -289,31 +286,6 @@
         }
     }
 
-    private fun answerPull(
-        pull: Pull,
-        nowMillis: Long,
-    ): FrameBody {
-        if (pull.afterOffset >= position.offset ||
-            !position.isConfirmed
-        ) {
-            return counted("nothing", NothingNew(position))
-        }
-        val records = replica.recordsAfter(pull.afterOffset)?.takeIf { it.entries.size <= MAX_DELTA_RECORDS }
-        if (records == null) limit.admit(nowMillis)?.let { return counted("refused", Refused(it)) }
-        if (answers.size >= MAX_ANSWERS) answers.clear()
-        val body = answers.getOrPut(pull) { newAnswer(pull, records) }
-        return counted(if (records == null) "state" else "records", body)
-    }
-
-    private fun newAnswer(
-        pull: Pull,
-        records: RecordBatch?,
-    ): FrameBody {
-        val batch = if (pull.takesChanges) replica.changesAfter(pull.afterOffset) else records
-        val body = if (records == null || batch == null) WholeState(replica.transfer()) else Push(batch)
-        return if (pull.takesDeflated) PeerCodec.deflate(body) else body
-    }
-
     private fun answerPush(
         push: Push,
         view: FleetView,
@@ -322,11 +294,6 @@
         return NothingNew(position)
     }
 
-    private fun counted(
-        answer: String,
-        body: FrameBody,
-    ): FrameBody = body.also { metrics.countTransfer(answer) }
-
     private fun waitAfterRefusal(
         refused: Refused,
         nowMillis: Long,
@@ -363,11 +330,6 @@
     }
 
     private companion object {
-        /** Longer tails cost more than the state and would pass the admission of transfers. */
-        const val MAX_DELTA_RECORDS = 64
-
-        /** Peers that follow are at one of a few offsets. */
-        const val MAX_ANSWERS = 16
         val LOG = LogManager.getLogger(Dissemination::class.java)
     }
 }
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/PeerCodec.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/PeerCodec.kt
@@ -54,7 +54,7 @@
     /** Decodes a frame whose body, if it is deflated, has at most [maxBodyBytes]. */
     fun decodeFrame(
         bytes: ByteArray,
-        maxBodyBytes: Int = MAX_BODY_BYTES,
+        maxBodyBytes: Int,
     ): Result<PeerFrame, PeerError> =
         decode(PeerFrame.serializer(), bytes).andThen { frame ->
             val body = frame.body
@@ -102,9 +102,6 @@
             Err(PeerError.Garbage(e.toString()))
         }
 
-    /** Is the longest body that is taken; see [ControlPlaneSettings.maxFrameBytes]. */
-    private const val MAX_BODY_BYTES = 8 * 1024 * 1024
-
     /** Shorter bodies fit into a few packets anyway. */
     private const val MIN_DEFLATED_BYTES = 4_096
 
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/PeerTransport.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/PeerTransport.kt
@@ -1,7 +1,6 @@
 package dev.baobabhollow.peers
 
 import com.github.michaelbull.result.Err
-import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.fold
@@ -198,7 +197,7 @@
         if (size !in 1..settings.maxFrameBytes) return Err(PeerError.TooLong(size))
         val bytes = channel.readByteArray(size)
         metrics.countReceived(TCP, bytes.size + Int.SIZE_BYTES)
-        return Ok(bytes).andThen(PeerCodec::decodeFrame)
+        return PeerCodec.decodeFrame(bytes, settings.maxFrameBytes)
     }
 
     private suspend fun writeFrame(
--- a/peers/src/test/kotlin/dev/baobabhollow/peers/PeerCodecSpec.kt
+++ b/peers/src/test/kotlin/dev/baobabhollow/peers/PeerCodecSpec.kt
@@ -31,6 +31,8 @@
 import java.util.SplittableRandom
 import kotlin.time.Duration.Companion.seconds
 
+private val MAX_BODY_BYTES = ControlPlaneSettings().maxFrameBytes
+
 private fun verdict(number: Int) =
     PatchVerdict(
         WriterId("cli-$number"),
@@ -71,7 +73,7 @@
             it("is shorter, and comes out as it went in") {
                 val bytes = PeerCodec.encode(frame)
                 bytes.size * 4 shouldBeLessThanOrEqual PeerCodec.encode(frame.copy(body = whole)).size
-                PeerCodec.decodeFrame(bytes).fold({ it.body }, { it }) shouldBe whole
+                PeerCodec.decodeFrame(bytes, MAX_BODY_BYTES).fold({ it.body }, { it }) shouldBe whole
             }
 
             it("is left as it is where that saves little") {
@@ -89,7 +91,8 @@
                 val bytes = (deflated as Deflated).bytes
                 listOf(bytes.copyOf(bytes.size / 2), ByteArray(40) { 7 }).forEach {
                     val spoilt = PeerCodec.encode(frame.copy(body = Deflated(it)))
-                    PeerCodec.decodeFrame(spoilt).fold({ "taken" }, { it::class }) shouldBe PeerError.Garbage::class
+                    PeerCodec.decodeFrame(spoilt, MAX_BODY_BYTES).fold({ "taken" }, { it::class }) shouldBe
+                        PeerError.Garbage::class
                 }
             }
         }
@@ -131,7 +134,7 @@
             repeat(20_000) {
                 val bytes = valid.copyOf(1 + random.nextInt(valid.size + 8))
                 repeat(1 + random.nextInt(4)) { bytes[random.nextInt(bytes.size)] = random.nextInt().toByte() }
-                PeerCodec.decodeFrame(bytes).fold({ }, { })
+                PeerCodec.decodeFrame(bytes, MAX_BODY_BYTES).fold({ }, { })
                 PeerCodec.decodeDatagram(bytes).fold({ }, { })
             }
         }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/Attempt.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/Attempt.kt
@@ -33,8 +33,8 @@
 
 /** Receives the answer to an attempt on the event loop of the call. */
 internal interface AnswerListener {
-    /** Tells that the request is being sent, [waitedMicros] after a connection was asked for. */
-    fun onSending(waitedMicros: Long) = Unit
+    /** Tells that a connection is there and the request is being sent. */
+    fun onSending() = Unit
 
     /** Receives the head of the answer. */
     fun onAnswerHead(head: HttpResponse)
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
@@ -135,8 +135,8 @@
         replay.clear()
     }
 
-    override fun onSending(waitedMicros: Long) =
-        node.logDelay(callerCallId, "entry", attemptMicros - startMicros, waitedMicros)
+    override fun onSending() =
+        node.logDelay(callerCallId, "entry", attemptMicros - startMicros, node.nowMicros() - attemptMicros)
 
     override fun onAnswerHead(head: HttpResponse) {
         val headers = head.headers()
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
@@ -206,10 +206,8 @@
         if (upstream == null) cancel() else upstream?.abandon()
     }
 
-    override fun onSending(waitedMicros: Long) {
-        val slotMicros = startMicros - submittedMicros
-        node.logDelay(callId, "owner", slotMicros, waitedMicros)
-    }
+    override fun onSending() =
+        node.logDelay(callId, "owner", startMicros - submittedMicros, node.nowMicros() - startMicros)
 
     override fun onAnswerHead(head: HttpResponse) {
         val code = head.status().code()
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamCall.kt
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.LastHttpContent
-import java.util.concurrent.TimeUnit
 
 /** Sends one request over a pooled connection and passes the answer to [listener]. */
 internal class UpstreamCall(
@@ -23,7 +22,6 @@
     private var isStarted = false
     private var headWrite: ChannelFuture? = null
     private var discardedBytes = 0L
-    private var startNanos = 0L
 
     /** True once the head of the request has been written. */
     val isRequestStarted: Boolean get() = isStarted
@@ -39,7 +37,6 @@
         get() = connection?.channel?.isWritable ?: pending.isEmpty
 
     override fun start(head: HttpRequest) {
-        startNanos = System.nanoTime()
         pool.acquire { acquired, failure -> onConnection(head, acquired, failure) }
     }
 
@@ -63,7 +60,7 @@
         state = State.OPEN
         acquired.begin(this, head.method())
         isStarted = true
-        listener.onSending(TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - startNanos))
+        listener.onSending()
         // Only a head that was written in full can be run; until the write succeeds the call has not been handed over.
         val write = acquired.channel.write(head)
         headWrite = write
