Ask for a whole configuration only where a pull has brought a change that does not fit

- A rejected batch made the next pull ask for a whole configuration, and from the node of the last pull, also where the batch had been pushed or read from the log.
Now only the answer to a pull does.
- Where records are pushed, a node that had pulled a change pushed the change on, which fits only nodes at the same version.
It now pushes the whole record that its replica holds.
- Folding a log with a change in it noted its writer and time, while nodes take such a record for unreadable.
The fold does the same now; the new part of MeshChangeSpec failed before.

The specs of peers and configuration pass.

--- a/configuration/src/main/kotlin/dev/baobabhollow/configuration/Fold.kt
+++ b/configuration/src/main/kotlin/dev/baobabhollow/configuration/Fold.kt
@@ -43,8 +43,12 @@
     if (entry.offset <= state.offset) return state
     when (val body = entry.record.body) {
         is ConfigurationRecord -> return foldConfiguration(state, entry, body)
+
         is MoveOrderRecord -> return foldOrder(state, entry, body)
-        is UnreadableRecord -> return state.copy(offset = entry.offset)
+
+        // A change belongs between nodes. A replica turns it into a whole configuration, so this one comes from the log.
+        is MeshChangeRecord, is UnreadableRecord -> return state.copy(offset = entry.offset)
+
         else -> Unit
     }
     val advanced = state.copy(offset = entry.offset, lastAppendedAtMillis = entry.appendedAtMillis)
--- a/configuration/src/test/kotlin/dev/baobabhollow/configuration/MeshChangeSpec.kt
+++ b/configuration/src/test/kotlin/dev/baobabhollow/configuration/MeshChangeSpec.kt
@@ -3,6 +3,7 @@
 import dev.baobabhollow.model.CallerLimits
 import dev.baobabhollow.model.ConfigurationRecord
 import dev.baobabhollow.model.ConfigurationState
+import dev.baobabhollow.model.LogEntry
 import dev.baobabhollow.model.MeshChange
 import dev.baobabhollow.model.MeshChangeRecord
 import dev.baobabhollow.model.MeshConfig
@@ -143,5 +144,12 @@
                 other.offer(changesAfter(0)).shouldBeInstanceOf<OfferResult.Rejected>()
                 other.state shouldBe before
             }
+
+            // Guards against readers of the log that differ from the nodes, which take such a record for unreadable.
+            it("changes nothing but the offset where a log holds it") {
+                val state = builder.state()
+                val entry = LogEntry(state.offset + 1, 9, changesAfter(0).entries.single().record)
+                fold(state, entry) shouldBe state.copy(offset = state.offset + 1)
+            }
         }
     })
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
@@ -114,7 +114,7 @@
         val body = answer.fold({ it.body }) { return noteFailedPull(it, nowMillis) }
         LOG.info("event=pull_answered answer={} millis={}", body::class.simpleName, nowMillis - pullStartedMillis)
         when (body) {
-            is Push -> takePulled { take(body.batch, view, Origin.PEER) }
+            is Push -> takePulled { if (!take(body.batch, view, Origin.PEER)) pullAgain(body.batch) }
             is WholeState -> takePulled { take(body.transfer, Origin.PEER) }
             is NothingNew -> takeNothingNew(body, nowMillis)
             is Refused -> waitAfterRefusal(body, nowMillis)
@@ -138,6 +138,12 @@
         backoff.reset()
     }
 
+    /** A change may not fit because the state has moved on since it was asked for; then another one will. */
+    private fun pullAgain(rejected: RecordBatch) {
+        needsWhole = rejected.afterOffset == position.offset
+        ahead = pulledFrom
+    }
+
     private fun takeNothingNew(
         answer: NothingNew,
         nowMillis: Long,
@@ -189,32 +195,26 @@
         confirm()
     }
 
+    /** Returns false if [batch] does not fit the state. */
     private fun take(
         batch: RecordBatch,
         view: FleetView,
         origin: Origin,
-    ) {
+    ): Boolean {
         val before = position.offset
-        when (val result = replica.offer(batch)) {
-            is OfferResult.Applied -> {
-                moveOn(origin)
-                batch.entries.filter { it.offset > before }.forEach(::reportUnreadable)
-                val fresh = RecordBatch(before, batch.entries.filter { it.offset > before })
-                if (position.isConfirmed) push(fresh, view, isLogReader = origin == Origin.LOG)
-            }
-
-            is OfferResult.Rejected -> {
-                // A change may not fit because the state has moved on since it was asked for; then another one will.
-                needsWhole = batch.afterOffset == before
-                if (origin == Origin.PEER) ahead = pulledFrom
-                metrics.countIgnored("rejected batch")
-                LOG.warn("batch rejected: {}", result.reason)
-            }
-
-            else -> {
-                Unit
-            }
+        val result = replica.offer(batch)
+        if (result is OfferResult.Rejected) {
+            metrics.countIgnored("rejected batch")
+            LOG.warn("batch rejected: {}", result.reason)
+            return false
         }
+        if (result !is OfferResult.Applied) return true
+        moveOn(origin)
+        batch.entries.filter { it.offset > before }.forEach(::reportUnreadable)
+        // The replica holds whole configurations; a change in the batch fits only a node that was at the same version.
+        val fresh = replica.recordsAfter(before)
+        if (fresh != null && position.isConfirmed) push(fresh, view, isLogReader = origin == Origin.LOG)
+        return true
     }
 
     private fun take(
