Execute pipelined idempotent requests at the same time

Cause: DownstreamHandler served the requests of a connection one after the other, so a pipelined request waited for all responses before it, its deadline was read only when it was opened, and reading stopped meanwhile, so that the close of its connection was seen after it (GONE).

Change: DownstreamCall holds one request and buffers its response, within a limit, until its turn. Requests of idempotent routes are opened when they are read; all others wait until the responses before them are complete, because callers send them again if one of those closes the connection. Deadlines count from the time of reading. A stopping node answers every request that it has read and closes each connection after the last one; a response counts as in flight until it is written, and idle connections are closed on their own event loops, so that no request in progress is cut.

Also: a truncated response of an idempotent call was retried after a part of it had been passed on, so the caller received the head and body of a second response behind the first part. Such a call is no longer retried.

--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamHandler.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamHandler.kt
@@ -1,61 +1,65 @@
 package dev.baobabhollow.proxy
 
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.handler.timeout.IdleStateEvent
 import io.netty.util.ReferenceCountUtil
 import java.io.IOException
 import java.util.concurrent.TimeUnit
 
-/** One request and its response, handled on the event loop of the downstream connection. */
-internal interface Exchange {
-    /** False while the request body should not be read on. */
-    val isWritable: Boolean
+/** Opens the exchanges of a port. */
+internal interface CallPort {
+    val protocol: CallProtocol
 
-    /** Receives a part of the request body and takes ownership of its buffer. */
-    fun onRequestBody(content: HttpContent)
+    fun open(
+        downstream: DownstreamCall,
+        head: HttpRequest,
+    ): Exchange
 
-    fun onRequestReadComplete()
-
-    /** Called when the downstream connection becomes writable or stops being so. */
-    fun onDownstreamWritability(isWritable: Boolean)
-
-    /** Called when the caller has disconnected or has sent a malformed body. No response can be sent. */
-    fun onDownstreamClosed()
+    /**
+     * True if the request may be executed before the responses to earlier requests of its connection are complete. If
+     * one of those closes the connection, callers send the later requests again, whether they have been executed or not.
+     */
+    fun mayOverlap(head: HttpRequest): Boolean
 }
 
-/** Serves the requests of one downstream connection sequentially. */
+/** Serves the requests of one downstream connection, and returns the responses in the order of the requests. */
 internal class DownstreamHandler(
     private val node: NodeCore,
     private val encoder: CallerResponseEncoder,
-    private val protocol: CallProtocol,
-    private val open: (DownstreamHandler, HttpRequest) -> Exchange,
+    private val port: CallPort,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
-    private var exchange: Exchange? = null
-
-    /** Call metadata of the current request. */
-    var caller = CallerMetadata(callId = null, deadlineMillis = null)
-        private set
-    private val pipelined = ArrayDeque<Any>(0)
-    private var isRequestDone = true
-    private var isKeptAlive = true
-    private var isResponseStarted = false
-    private var isDiscarding = false
+
+    /** Opened calls in the order of their requests. The response to the first one can be written. */
+    private val calls = ArrayDeque<DownstreamCall>(1)
+
+    /** Calls that have not been opened, each followed by the parts of its body. */
+    private val waiting = ArrayDeque<Any>(0)
+    private var waitingBytes = 0L
+
+    /** True if the end of a request without a body is the next message. */
     private var isEndToSkip = false
-    private var isProcessingQueue = false
+    private var isProcessing = false
 
     /** True while a request that a lagging event loop has read waits for a possible close of its connection. */
     private var isHeld = false
-    private var isClosed = false
+
+    /** True while the rest of a request whose response has been sent is read, before the connection is closed. */
+    private var isLingering = false
+
+    /** True once all that is read is discarded, because the connection is closed after the response to [lastCall]. */
+    private var isInputEnded = false
+
+    /** Call of the request that was read last. */
+    private var lastCall: DownstreamCall? = null
 
     val loop: EventLoop get() = context.channel().eventLoop()
     val isWritable: Boolean get() = context.channel().isWritable
@@ -68,26 +72,52 @@
         ctx: ChannelHandlerContext,
         message: Any,
     ) {
-        val isQueued = isHeld || pipelined.isNotEmpty() || (exchange != null && isRequestDone)
         when {
             isEndToSkip && message is LastHttpContent -> skipEnd(message)
-            isDiscarding || isClosed -> discard(message)
-            isQueued -> pipelined.addLast(message)
-            message is HttpRequest && node.isLagging(loop) -> hold(message)
-            else -> receive(message)
+            isLingering -> discard(message)
+            isInputEnded -> ReferenceCountUtil.release(message)
+            message is HttpRequest -> receiveHead(message)
+            message is HttpContent && waiting.isNotEmpty() -> enqueue(message)
+            message is HttpContent -> receiveBody(message)
+        }
+    }
+
+    private fun skipEnd(message: LastHttpContent) {
+        isEndToSkip = false
+        message.release()
+    }
+
+    private fun receiveHead(head: HttpRequest) {
+        if (lastCall?.isKeptAlive == false) {
+            isInputEnded = true
+            ReferenceCountUtil.release(head)
+            return
+        }
+        val caller = port.protocol.readCallerMetadata(head.headers(), node.nowMillis())
+        val call = DownstreamCall(this, node, port.protocol, head, caller)
+        lastCall = call
+        isEndToSkip = call.hasNoBody
+        // Counted from here on, so that draining waits for requests that are not opened yet too.
+        node.exchangeStarted()
+        if (waiting.isEmpty() && node.isLagging(loop)) holdRequests()
+        if (isHeld || waiting.isNotEmpty() || !mayOpen(call)) enqueue(call) else open(call)
+        if (head is HttpContent && waiting.isNotEmpty()) {
+            enqueue(head)
+        } else if (head is HttpContent) {
+            receiveBody(head)
         }
     }
 
     /**
-     * Holds [request] until the event loop has read all connections once more. The caller may have disconnected during
-     * the lag, and the close of a connection is read one loop iteration after its last request.
+     * Holds new requests until the event loop has read all connections once more. The caller may have disconnected
+     * during the lag, and the close of a connection is read one loop iteration after its last request.
      */
-    private fun hold(request: HttpRequest) {
+    private fun holdRequests() {
         isHeld = true
-        // Counted as in flight, so that draining waits for the held request too.
-        node.exchangeStarted()
-        pipelined.addLast(request)
-        afterNextIteration(::releaseHeld)
+        afterNextIteration {
+            isHeld = false
+            processWaiting()
+        }
     }
 
     /** Runs [step] after the event loop has read all connections once more, which two nested scheduled tasks ensure. */
@@ -95,171 +125,180 @@
         loop.schedule({ loop.schedule(step, 0, TimeUnit.MILLISECONDS) }, 0, TimeUnit.MILLISECONDS)
     }
 
-    private fun releaseHeld() {
-        isHeld = false
-        if (!isClosed && context.channel().isActive) processQueue()
-        node.exchangeEnded()
+    private fun mayOpen(call: DownstreamCall): Boolean {
+        val last = calls.lastOrNull() ?: return true
+        return last.isRequestDone && calls.size < node.settings.maxPipelinedCalls && port.mayOverlap(call.head)
     }
 
-    private fun skipEnd(message: LastHttpContent) {
-        isEndToSkip = false
-        message.release()
+    private fun enqueue(message: Any) {
+        waiting.addLast(message)
+        waitingBytes += bytesOf(message)
     }
 
-    private fun receive(message: Any) {
-        if (message is HttpRequest) receiveHead(message)
-        if (message is HttpContent) receiveBody(message)
-    }
+    private fun bytesOf(message: Any) =
+        if (message is HttpContent) message.content().readableBytes().toLong() else HEAD_BYTES
 
-    private fun receiveHead(head: HttpRequest) {
-        val isWhole = head !is LastHttpContent && !HttpUtil.isTransferEncodingChunked(head) && lengthOf(head) == 0L
-        isRequestDone = isWhole
-        isEndToSkip = isWhole
-        isResponseStarted = false
-        isKeptAlive = HttpUtil.isKeepAlive(head)
-        encoder.method = head.method()
-        caller = protocol.readCallerMetadata(head.headers(), node.nowMillis())
-        node.exchangeStarted()
-        exchange = PENDING
-        val opened = open(this, head)
-        if (exchange === PENDING) exchange = opened
-        // A request without a body is complete here, so that an immediate response can keep the connection alive.
-        if (isWhole) exchange?.onRequestBody(LastHttpContent.EMPTY_LAST_CONTENT)
+    private fun open(call: DownstreamCall) {
+        calls.addLast(call)
+        if (calls.size == 1) call.promote()
+        call.open(port)
     }
 
-    private fun lengthOf(head: HttpRequest): Long = HttpUtil.getContentLength(head, 0L)
-
     private fun receiveBody(content: HttpContent) {
-        if (content is LastHttpContent) isRequestDone = true
-        val current = exchange
-        if (current == null) {
-            content.release()
-            return
-        }
-        if (content.decoderResult().isFailure) {
-            content.release()
-            closeAbruptly()
-            return
-        }
-        current.onRequestBody(content)
-    }
-
-    /** Sends `100 Continue` if [request] expects it. */
-    fun sendContinue(request: HttpRequest) {
-        if (!HttpUtil.is100ContinueExpected(request)) return
-        context.writeAndFlush(continueResponse())
+        val call = calls.lastOrNull()?.takeIf { !it.isRequestDone }
+        if (call == null) content.release() else call.onRequestBody(content)
     }
 
     override fun channelReadComplete(ctx: ChannelHandlerContext) {
-        exchange?.onRequestReadComplete()
+        flushRequests()
         updateReading()
     }
 
-    /** Enables reading unless the exchange cannot accept more data or another request is queued. */
+    private fun flushRequests() {
+        when (calls.size) {
+            0 -> Unit
+            1 -> calls.first().onRequestReadComplete()
+            else -> calls.toList().forEach { it.onRequestReadComplete() }
+        }
+    }
+
+    /**
+     * Enables reading unless too much is waiting or an exchange cannot accept more data. Reading goes on while requests
+     * wait, since a caller that disconnects is noticed only by reading.
+     */
     fun updateReading() {
-        if (isClosed) return
-        val isReading =
-            isDiscarding || isHeld || (pipelined.isEmpty() && (isRequestDone || exchange?.isWritable != false))
+        if (!context.channel().isActive) return
+        val isReading = isLingering || isInputEnded || (hasRoom() && calls.lastOrNull()?.acceptsBody != false)
         val config = context.channel().config()
         if (config.isAutoRead != isReading) config.isAutoRead = isReading
     }
 
-    /** Writes the head of the response. */
-    fun writeResponseHead(head: HttpResponse) {
-        isResponseStarted = true
-        if (!isRequestDone || node.isClosing) isKeptAlive = false
-        if (!isKeptAlive) head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        context.write(head, context.voidPromise())
-    }
+    private fun hasRoom() = waitingBytes < node.settings.maxWaitingRequestBytes
 
-    /** Writes a part of the response body and takes ownership of its buffer. The last part ends the exchange. */
-    fun writeResponseBody(content: HttpContent) {
-        if (content !is LastHttpContent) {
-            context.write(content, context.voidPromise())
-            return
+    /** True if no request follows that of [call]. */
+    fun isLast(call: DownstreamCall) = lastCall === call
+
+    /** Writes a part of the response to [call], which is the first one. The last part ends the call. */
+    fun write(
+        call: DownstreamCall,
+        part: HttpObject,
+    ) {
+        if (part is HttpResponse) encoder.method = call.head.method()
+        if (part is LastHttpContent && part !is HttpResponse) {
+            finish(call, context.writeAndFlush(part))
+        } else {
+            context.write(part, context.voidPromise())
         }
-        exchange = null
-        val written = context.writeAndFlush(content)
-        node.exchangeEnded()
+    }
+
+    private fun finish(
+        call: DownstreamCall,
+        written: ChannelFuture,
+    ) {
+        calls.removeFirst()
+        // A response counts as in flight until it is written, so that a stop does not cut it off.
+        written.addListener { node.exchangeEnded() }
         when {
-            isKeptAlive && isRequestDone -> processQueue()
-            isRequestDone -> written.addListener { context.close() }
+            call.isKeptAlive && call.isRequestDone -> processWaiting()
+            call.isRequestDone -> closeAfter(written)
             else -> linger()
         }
     }
 
-    /** Writes an error response, or closes the connection if a response has been started. */
-    fun writeFailureResponse(failure: CallFailure) {
-        if (isResponseStarted) return closeAbruptly()
-        if (failure.status.code() < SERVER_ERRORS && !isRequestDone) isKeptAlive = false
-        val body = failureBody(failure)
-        writeResponseHead(failureHead(failure, body.content().readableBytes(), caller.callId, protocol))
-        writeResponseBody(body)
+    private fun closeAfter(written: ChannelFuture) {
+        isInputEnded = true
+        cancelAll()
+        updateReading()
+        written.addListener { context.close() }
     }
 
-    /** Writes an error response to a malformed request and closes the connection. */
-    fun refuseMalformed(failure: CallFailure) {
-        isKeptAlive = false
-        writeFailureResponse(failure)
+    private fun linger() {
+        isLingering = true
+        updateReading()
+        loop.schedule({ context.close() }, node.settings.lingerMillis, TimeUnit.MILLISECONDS)
     }
 
-    /** Closes the connection so that the caller does not take a truncated response for a complete one. */
-    fun closeAbruptly() {
-        context.close()
+    private fun discard(message: Any) {
+        val isEnd = message is LastHttpContent
+        ReferenceCountUtil.release(message)
+        if (isEnd) context.close()
+    }
+
+    /** Closes the connection in place of a response to [call], once the responses to earlier requests are complete. */
+    fun abort(call: DownstreamCall) {
+        if (calls.firstOrNull() === call) {
+            context.close()
+            return
+        }
+        isInputEnded = true
+        call.cancel()
+        updateReading()
     }
 
     fun flush() {
         context.flush()
     }
 
-    private fun processQueue() {
-        if (isProcessingQueue) return
-        isProcessingQueue = true
-        while (pipelined.isNotEmpty()) {
-            val message = pipelined.first()
-            if (isEndToSkip && message is LastHttpContent) {
-                skipEnd(pipelined.removeFirst() as LastHttpContent)
-                continue
-            }
-            if (exchange != null && isRequestDone) break
-            receive(pipelined.removeFirst())
-        }
-        isProcessingQueue = false
-        exchange?.onRequestReadComplete()
-        updateReading()
+    /** Closes the connection if it has no request in progress. Other connections close after their last response. */
+    fun closeIfIdle() {
+        if (calls.isEmpty() && waiting.isEmpty() && !isLingering && !isInputEnded) context.close()
     }
 
-    private fun linger() {
-        isDiscarding = true
+    /** Promotes the first call, and opens the waiting ones that may be opened. */
+    private fun processWaiting() {
+        if (isProcessing) return
+        isProcessing = true
+        do {
+            val isChanged = promoteFirst() || openNext()
+        } while (isChanged)
+        isProcessing = false
+        flushRequests()
         updateReading()
-        loop.schedule({ context.close() }, node.settings.lingerMillis, TimeUnit.MILLISECONDS)
     }
 
-    private fun discard(message: Any) {
-        val isEnd = message is LastHttpContent
-        ReferenceCountUtil.release(message)
-        if (isEnd) context.close()
+    private fun promoteFirst(): Boolean {
+        val first = calls.firstOrNull() ?: return false
+        if (first.isFirst) return false
+        if (first.isAborted) context.close()
+        first.promote()
+        return true
+    }
+
+    private fun openNext(): Boolean {
+        if (isHeld || !context.channel().isActive) return false
+        val next = waiting.firstOrNull() ?: return false
+        if (next is DownstreamCall && !mayOpen(next)) return false
+        waiting.removeFirst()
+        waitingBytes -= bytesOf(next)
+        if (next is DownstreamCall) open(next) else receiveBody(next as HttpContent)
+        return true
     }
 
     override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
-        exchange?.onDownstreamWritability(ctx.channel().isWritable)
+        calls.firstOrNull()?.onDownstreamWritability(ctx.channel().isWritable)
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
-        isClosed = true
-        pipelined.forEach { ReferenceCountUtil.release(it) }
-        pipelined.clear()
-        val current = exchange ?: return
-        exchange = null
-        node.exchangeEnded()
-        current.onDownstreamClosed()
+        isInputEnded = true
+        cancelAll()
+    }
+
+    private fun cancelAll() {
+        val open = calls.toList()
+        val unopened = waiting.toList()
+        calls.clear()
+        waiting.clear()
+        waitingBytes = 0
+        open.forEach { it.cancel() }
+        repeat(open.size + unopened.count { it is DownstreamCall }) { node.exchangeEnded() }
+        unopened.forEach { if (it !is DownstreamCall) ReferenceCountUtil.release(it) }
     }
 
     override fun userEventTriggered(
         ctx: ChannelHandlerContext,
         event: Any,
     ) {
-        if (event is IdleStateEvent && exchange == null) ctx.close()
+        if (event is IdleStateEvent) closeIfIdle()
     }
 
     @Deprecated("Overrides a deprecated function of ChannelHandler")
@@ -272,22 +311,7 @@
     }
 
     private companion object {
-        const val SERVER_ERRORS = 500
-
-        /** Placeholder for an exchange that is being opened, because it can end before it is assigned. */
-        val PENDING =
-            object : Exchange {
-                override val isWritable = true
-
-                override fun onRequestBody(content: HttpContent) {
-                    content.release()
-                }
-
-                override fun onRequestReadComplete() = Unit
-
-                override fun onDownstreamWritability(isWritable: Boolean) = Unit
-
-                override fun onDownstreamClosed() = Unit
-            }
+        /** Assumed size of the head of a waiting request. */
+        const val HEAD_BYTES = 1_024L
     }
 }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
@@ -32,7 +32,7 @@
 /** Forwards a call to the owner of a target and, where the route's rules allow it, retries it at another one. */
 internal class EntryExchange(
     node: NodeCore,
-    downstream: DownstreamHandler,
+    downstream: DownstreamCall,
     private val deadlines: CallDeadlines,
     private val head: HttpRequest,
     private val route: Route,
@@ -46,6 +46,9 @@
     private val startMicros = node.nowMicros()
     private var attemptMicros = startMicros
     private var isReplayOverflowed = false
+
+    /** True once the caller may have received a part of a response. */
+    private var isResponseStarted = false
     private var attempts = 0
 
     /** Attempts that reached a target. */
@@ -156,6 +159,7 @@
             }
         }
         responseStatus = head.status()
+        isResponseStarted = true
         headers.removeHopByHop()
         super.onResponseHead(head)
     }
@@ -199,7 +203,8 @@
         val now = node.nowMillis()
         val maxTargets = route.config.maxTargets ?: node.settings.maxAttempts
         val hasAttempts = attempts < node.settings.maxAttempts && attemptsAtTargets < maxTargets
-        if (isEnded || !mayRetry || isReplayOverflowed || !hasAttempts || now >= deadlineMillis) return null
+        val isReplayable = mayRetry && !isReplayOverflowed && !isResponseStarted
+        if (isEnded || !isReplayable || !hasAttempts || now >= deadlineMillis) return null
         val next = pick() ?: return null
         return next.takeIf { !chargesBudget || node.budgets.of(route.service.id).tryRetry(now) }
     }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
@@ -15,16 +15,23 @@
 /** Opens exchanges for requests at the callers' port. */
 internal class EntryPort(
     private val node: NodeCore,
-) {
-    fun open(
-        downstream: DownstreamHandler,
+) : CallPort {
+    override val protocol: CallProtocol get() = node.settings.protocol
+
+    override fun mayOverlap(head: HttpRequest): Boolean {
+        if (requestError(head) != null || isKeyRequest(head)) return false
+        return routedPath(head)?.let { node.tables().match(it, hostOf(head)) }?.config?.idempotent == true
+    }
+
+    override fun open(
+        downstream: DownstreamCall,
         head: HttpRequest,
     ): Exchange {
         val malformed = requestError(head)
         if (malformed != null) return respondNow(downstream) { downstream.refuseMalformed(malformed) }
         val path = routedPath(head) ?: return respondNow(downstream) { downstream.refuseMalformed(badRequest()) }
         val table = node.tables()
-        val host = head.headers().get(HttpHeaderNames.HOST)?.substringBefore(':')
+        val host = hostOf(head)
         if (node.isDraining) return refused(downstream, CallFailure.notRun(FailureReason.DRAINING))
         if (!table.isReady) return refused(downstream, node.startupRefusal(FailureReason.NOT_READY))
         node.lagRefusal(downstream.loop)?.let { return refused(downstream, it) }
@@ -36,6 +43,8 @@
         return forward(downstream, head, table, route.forCall(ThreadLocalRandom.current().nextDouble()))
     }
 
+    private fun hostOf(head: HttpRequest): String? = head.headers().get(HttpHeaderNames.HOST)?.substringBefore(':')
+
     /** Returns the path that selects the route; a request for a key has it in its query. */
     private fun routedPath(head: HttpRequest): String? {
         if (!isKeyRequest(head)) return routingPath(head.uri())
@@ -44,7 +53,7 @@
     }
 
     private fun forward(
-        downstream: DownstreamHandler,
+        downstream: DownstreamCall,
         head: HttpRequest,
         table: RoutingTable,
         route: Route,
@@ -68,7 +77,7 @@
         if (issuer != null && (keyOwner == null || keyOwner.incarnation != issuer.incarnation)) {
             return refused(downstream, CallFailure.unknown(FailureReason.KEY_OWNER_GONE))
         }
-        downstream.sendContinue(head)
+        downstream.sendContinue()
         headers.removeHopByHop()
         headers.remove(HttpHeaderNames.EXPECT)
         headers.remove(MeshHeaders.OUTCOME)
@@ -89,7 +98,7 @@
     }
 
     private fun start(
-        downstream: DownstreamHandler,
+        downstream: DownstreamCall,
         deadlines: CallDeadlines,
         head: HttpRequest,
         route: Route,
@@ -109,7 +118,7 @@
         route.service.release(ThreadLocalRandom.current().nextInt(FULL_SHARE_PERMILLE))
 
     private fun refused(
-        downstream: DownstreamHandler,
+        downstream: DownstreamCall,
         failure: CallFailure,
     ): Exchange {
         node.metrics.countFailure("entry", failure)
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/OwnerExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/OwnerExchange.kt
@@ -10,7 +10,7 @@
 /** Serves a call from an entry node at the owner node of the target. */
 internal class OwnerExchange(
     node: NodeCore,
-    downstream: DownstreamHandler,
+    downstream: DownstreamCall,
     private val deadlines: CallDeadlines,
     private val callId: String,
 ) : RelayExchange(node, downstream, deadlines.lastMillis) {
@@ -41,9 +41,14 @@
 /** Opens exchanges for requests at the peer call port. */
 internal class OwnerPort(
     private val node: NodeCore,
-) {
-    fun open(
-        downstream: DownstreamHandler,
+) : CallPort {
+    override val protocol: CallProtocol get() = MeshProtocol
+
+    /** Entry nodes send one request at a time on a connection. */
+    override fun mayOverlap(head: HttpRequest) = false
+
+    override fun open(
+        downstream: DownstreamCall,
         head: HttpRequest,
     ): Exchange {
         val malformed = requestError(head)
@@ -80,7 +85,7 @@
     private fun wrongTarget() = CallFailure.notRun(FailureReason.WRONG_TARGET)
 
     private fun refused(
-        downstream: DownstreamHandler,
+        downstream: DownstreamCall,
         failure: CallFailure,
     ): Exchange {
         node.metrics.countFailure("owner", failure)
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
@@ -10,11 +10,13 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
 import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.group.ChannelGroup
+import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.nio.NioIoHandler
 import io.netty.channel.socket.nio.NioServerSocketChannel
-import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.timeout.IdleStateHandler
 import io.netty.util.concurrent.DefaultThreadFactory
+import io.netty.util.concurrent.GlobalEventExecutor
 import org.apache.logging.log4j.LogManager
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
@@ -39,8 +41,9 @@
     private val node = NodeCore(settings, self, tables, targetEndpoint, nowMillis, recorder, claims, metrics)
     private val group =
         MultiThreadIoEventLoopGroup(settings.eventLoops, DefaultThreadFactory("proxy"), NioIoHandler.newFactory())
-    private val callers = listen(settings.callersEndpoint, settings.protocol, EntryPort(node)::open)
-    private val peers = listen(self.peerCallEndpoint, MeshProtocol, OwnerPort(node)::open)
+    private val connections: ChannelGroup = DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true)
+    private val callers = listen(settings.callersEndpoint, EntryPort(node))
+    private val peers = listen(self.peerCallEndpoint, OwnerPort(node))
 
     /** Port that serves callers. */
     val callersPort: Int get() = (callers.localAddress() as InetSocketAddress).port
@@ -97,13 +100,21 @@
     override fun close() {
         callers.close()
         peers.close()
+        if (node.isDraining) closeIdleConnections()
         group.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS).await(CLOSE_MILLIS * 2, TimeUnit.MILLISECONDS)
     }
 
+    /** Closes each connection on its own event loop, so that no response to a request that was read is cut off. */
+    private fun closeIdleConnections() {
+        connections.forEach { channel ->
+            channel.eventLoop().execute { channel.pipeline().get(DownstreamHandler::class.java)?.closeIfIdle() }
+        }
+        connections.newCloseFuture().await(CLOSE_IDLE_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
     private fun listen(
         endpoint: Endpoint,
-        protocol: CallProtocol,
-        open: (DownstreamHandler, HttpRequest) -> Exchange,
+        port: CallPort,
     ): Channel =
         ServerBootstrap()
             .group(group)
@@ -113,7 +124,7 @@
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
                 object : ChannelInitializer<Channel>() {
-                    override fun initChannel(channel: Channel) = prepare(channel, protocol, open)
+                    override fun initChannel(channel: Channel) = prepare(channel, port)
                 },
             ).bind(InetSocketAddress(endpoint.host, endpoint.port))
             .syncUninterruptibly()
@@ -121,16 +132,16 @@
 
     private fun prepare(
         channel: Channel,
-        protocol: CallProtocol,
-        open: (DownstreamHandler, HttpRequest) -> Exchange,
+        port: CallPort,
     ) {
+        connections.add(channel)
         val encoder = CallerResponseEncoder()
         val idle = IdleStateHandler(node.settings.callerIdleMillis, 0, 0, TimeUnit.MILLISECONDS)
         channel.pipeline().addLast(
             idle,
             StrictRequestDecoder(node.settings),
             encoder,
-            DownstreamHandler(node, encoder, protocol, open),
+            DownstreamHandler(node, encoder, port),
         )
     }
 
@@ -139,5 +150,8 @@
         const val BACKLOG = 1_024
         const val SWEEP_MILLIS = 1_000L
         const val CLOSE_MILLIS = 1_000L
+
+        /** Time for the last responses of a stop to be written. */
+        const val CLOSE_IDLE_MILLIS = 200L
     }
 }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxySettings.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxySettings.kt
@@ -42,6 +42,12 @@
     val callerIdleMillis: Long = 75_000,
     /** Time for which the rest of a refused request is read; closing at once could discard the response. */
     val lingerMillis: Long = 1_000,
+    /** Most requests of one connection that are executed at the same time. */
+    val maxPipelinedCalls: Int = 32,
+    /** Bytes of requests that may wait on one connection for their turn before it is read no further. */
+    val maxWaitingRequestBytes: Long = 65_536,
+    /** Bytes of a response that are buffered while earlier responses of its connection are incomplete. */
+    val maxBufferedResponseBytes: Long = 65_536,
     val connectionsPerOwnerAndLoop: Int = 256,
     /** Conversion of the headers that callers and targets use. */
     val protocol: CallProtocol = MeshProtocol,
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/RelayExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/RelayExchange.kt
@@ -10,7 +10,7 @@
 /** Relays a request to an attempt and its response to [downstream] until [deadlineMillis]. */
 internal abstract class RelayExchange(
     protected val node: NodeCore,
-    protected val downstream: DownstreamHandler,
+    protected val downstream: DownstreamCall,
     protected val deadlineMillis: Long,
 ) : Exchange,
     ResponseListener {
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/Requests.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/Requests.kt
@@ -15,29 +15,6 @@
 
 internal const val KEYS_PATH = "/.baobabhollow/keys"
 
-/** An exchange whose response has been written. */
-internal object EndedExchange : Exchange {
-    override val isWritable = true
-
-    override fun onRequestBody(content: HttpContent) {
-        content.release()
-    }
-
-    override fun onRequestReadComplete() = Unit
-
-    override fun onDownstreamWritability(isWritable: Boolean) = Unit
-
-    override fun onDownstreamClosed() = Unit
-}
-
-internal inline fun respondNow(
-    downstream: DownstreamHandler,
-    respond: (DownstreamHandler) -> Unit,
-): Exchange {
-    respond(downstream)
-    return EndedExchange
-}
-
 /** Returns the reason why [head] cannot be forwarded safely, or null. */
 internal fun requestError(head: HttpRequest): CallFailure? {
     val result = head.decoderResult()
@@ -102,7 +79,7 @@
 /** Responds with a new key of this node. */
 internal fun respondWithKey(
     node: NodeCore,
-    downstream: DownstreamHandler,
+    downstream: DownstreamCall,
 ) {
     val key = node.claims.issue(node.nowMillis() + node.settings.keyLifetimeMillis, node.nowMillis())
     if (key == null) return downstream.writeFailureResponse(CallFailure.notRun(FailureReason.CLAIMS_UNAVAILABLE))
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/ResponseIntegritySpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/ResponseIntegritySpec.kt
@@ -64,6 +64,29 @@
                 }
             }
 
+            // Guards against a retry whose response is appended to the part that the caller has already received.
+            it("is not continued by the response of another target when it is truncated") {
+                val runs = AtomicInteger()
+                val targets =
+                    List(2) {
+                        ScriptedTarget { connection ->
+                            connection.read()
+                            runs.incrementAndGet()
+                            connection.send("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf")
+                            Thread.sleep(100)
+                        }
+                    }
+                TestMesh(targets.map { it.port }).use { mesh ->
+                    connect(mesh.port).use { connection ->
+                        connection.send("GET /stock HTTP/1.1\r\nhost: a\r\n\r\n")
+                        val received = connection.readToEnd()
+                        received.split("HTTP/1.1 ").size - 1 shouldBe 1
+                    }
+                }
+                runs.get() shouldBe 1
+                targets.forEach { it.close() }
+            }
+
             it("is an error with unknown outcome when it is malformed, oversized or without a length") {
                 val huge = "x-huge: ${"a".repeat(40_000)}\r\n"
                 val broken =
