Treat a response without the call's identifier as an unknown outcome

Cause: a response without an identifier was accepted for any call. A target that sends an earlier refusal once more without it, on a connection that is in use again, made a call that it was executing appear as not run: the caller was told so, or the call ran at a second target as well.

Change: where targets echo the identifier of a request, a response without one is malformed and its outcome unknown.

Measured: the two new tests of CallProtocolSpec fail without the check.

--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallProtocol.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallProtocol.kt
@@ -38,6 +38,12 @@
     /** True if responses to other calls that precede the expected one on a connection are skipped. */
     val skipsMismatchedResponses: Boolean
 
+    /**
+     * True if a target echoes the identifier of the call in each response to a request with [headers]. A response
+     * without one then cannot be matched to the call, and its outcome is unknown.
+     */
+    fun isCallIdEchoed(headers: HttpHeaders): Boolean
+
     /** Reads the call metadata from the headers of a caller's request. */
     fun readCallerMetadata(
         headers: HttpHeaders,
@@ -67,6 +73,8 @@
     override val allowsCloseDelimitedResponses = false
     override val skipsMismatchedResponses = false
 
+    override fun isCallIdEchoed(headers: HttpHeaders) = false
+
     override fun readCallerMetadata(
         headers: HttpHeaders,
         nowMillis: Long,
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamCall.kt
@@ -22,6 +22,7 @@
     private var isStarted = false
     private var headWrite: ChannelFuture? = null
     private var discardedBytes = 0L
+    private var isEchoExpected = false
 
     /** True once the head of the request has been written. */
     val isRequestStarted: Boolean get() = isStarted
@@ -37,6 +38,7 @@
         get() = connection?.channel?.isWritable ?: pending.isEmpty
 
     override fun start(head: HttpRequest) {
+        isEchoExpected = protocol.isCallIdEchoed(head.headers())
         pool.acquire { acquired, failure -> onConnection(head, acquired, failure) }
     }
 
@@ -116,13 +118,20 @@
     var responseMetadata = ResponseMetadata(callId = null)
         private set
 
-    /** Reads [head] and returns true if it can belong to the response to this call. */
+    /** Reads [head] and returns true if it is not the response to another call. */
     fun accepts(head: HttpResponse): Boolean {
         responseMetadata = protocol.readResponseMetadata(head)
         val echoed = responseMetadata.callId ?: return true
         return echoed == callId
     }
 
+    /**
+     * True if the accepted head is well-formed and names this call, where targets name it. A refusal without a name may
+     * be a copy of an earlier one, while the target executes this call.
+     */
+    val isResponseGenuine: Boolean
+        get() = responseMetadata.isWellFormed && (responseMetadata.callId != null || !isEchoExpected)
+
     /** True if a response to another call may be skipped while the response to this call is awaited. */
     val skipsMismatchedResponses: Boolean get() = protocol.skipsMismatchedResponses
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamConnection.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamConnection.kt
@@ -105,7 +105,7 @@
         if (isBroken || head.status() == HttpResponseStatus.SWITCHING_PROTOCOLS) return failMalformed(current)
         if (isInformational) return
         if (!current.accepts(head)) return onMismatchedHead(current)
-        if (!current.responseMetadata.isWellFormed) return failMalformed(current)
+        if (!current.isResponseGenuine) return failMalformed(current)
         // A close-delimited body cannot be told from a truncated one, so it is accepted only if the protocol allows it.
         if (!hasLength(head) && !current.allowsCloseDelimitedResponses) return failMalformed(current)
         isHeadSeen = true
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/CallProtocolSpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/CallProtocolSpec.kt
@@ -18,6 +18,8 @@
     override val allowsCloseDelimitedResponses = true
     override val skipsMismatchedResponses = true
 
+    override fun isCallIdEchoed(headers: HttpHeaders) = false
+
     override fun readCallerMetadata(
         headers: HttpHeaders,
         nowMillis: Long,
@@ -51,6 +53,11 @@
     }
 }
 
+/** The same protocol with targets that echo the identifiers of all calls that have one. */
+private object EchoingProtocol : CallProtocol by CustomHeaderProtocol {
+    override fun isCallIdEchoed(headers: HttpHeaders) = headers.contains("id")
+}
+
 class CallProtocolSpec :
     DescribeSpec({
         val settings =
@@ -140,6 +147,54 @@
             }
         }
 
+        describe("a refusal that a target sends once more on a connection in use") {
+            val echoing = settings.copy(protocol = EchoingProtocol, eventLoops = 1)
+
+            /** Refuses the first call, and executes the second one after a copy of that refusal. */
+            fun repeatingTarget(
+                runs: AtomicInteger,
+                copyHeaders: String,
+            ) = ScriptedTarget { connection ->
+                val first = connection.read() ?: return@ScriptedTarget
+                val id = "id: ${first.headers["id"]}\r\n"
+                connection.respond("", "503 full", "not-run: 1\r\n$id")
+                val second = connection.read() ?: return@ScriptedTarget
+                runs.incrementAndGet()
+                connection.respond("", "503 full", "not-run: 1\r\n$copyHeaders".replace("ID", first.headers["id"].orEmpty()))
+                Thread.sleep(50)
+                connection.respond("done", headers = "id: ${second.headers["id"]}\r\n")
+                connection.read()
+            }
+
+            // Guards against a call that is reported as not run while its target executes it.
+            it("does not become the response to the next call") {
+                listOf("", "id: ID\r\n").forEach { copyHeaders ->
+                    val runs = AtomicInteger()
+                    repeatingTarget(runs, copyHeaders).use { target ->
+                        TestMesh(listOf(target.port), settings = echoing).use { mesh ->
+                            call(mesh.port, "/orders/1", "POST", "id: c1\r\n")?.status shouldBe 503
+                            val next = call(mesh.port, "/orders/2", "POST", "id: c2\r\n")
+                            next?.headers?.get("is-not-run") shouldBe null
+                            next?.status shouldBe if (copyHeaders.isEmpty()) 502 else 200
+                        }
+                    }
+                    runs.get() shouldBe 1
+                }
+            }
+
+            // Guards against a call that is executed by a second target.
+            it("does not let the next call run at another target") {
+                val runs = AtomicInteger()
+                val targets = List(2) { repeatingTarget(runs, "") }
+                TestMesh(targets.map { it.port }, settings = echoing).use { mesh ->
+                    call(mesh.port, "/orders/1", "POST", "id: c1\r\n")?.status shouldBe 503
+                    call(mesh.port, "/orders/2", "POST", "id: c2\r\n")?.status shouldBe 502
+                }
+                runs.get() shouldBe 1
+                targets.forEach { it.close() }
+            }
+        }
+
         describe("a node whose event loop lags") {
             // Guards against requests that reach a target long after their callers have disconnected.
             it("refuses calls as not run") {
