Convert the times of ordered moves to the clock of each node

Cause: stages carry the start and end of a move as readings of the clock of the node that saw the order first. A substitute lead whose time of day differs by seconds, as after a clock step, held the move back or ended it early.

Change: datagrams with stages state the sender's clock, receivers shift the times by the difference and keep the earlier start. Times that come from the log are used only for moves that are not known, and never lie in the future.

--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlCore.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlCore.kt
@@ -78,7 +78,7 @@
             is ControlEvent.LogStateFound -> applyLogState(event)
             is ControlEvent.LogFailed -> handleLogError(event.error)
             is ControlEvent.AppendFinished -> handleAppendFinished(event)
-            is ControlEvent.StagesRead -> event.stages.forEach(orderedMoves::merge)
+            is ControlEvent.StagesRead -> event.stages.forEach { orderedMoves.merge(it) }
             is ControlEvent.ContactsFound -> send(membership.join(event.endpoints, nowMillis))
             is ControlEvent.SelfChanged -> changeSelf(event.change, nowMillis)
             is ControlEvent.LeaveRequested -> leave(event, nowMillis)
@@ -134,8 +134,8 @@
         lastPeerMessageMillis = nowMillis
         send(membership.receive(datagram.message, nowMillis))
         dissemination.compare(datagram.position, sender.endpoint, nowMillis)
-        val news = datagram.stages.filter(orderedMoves::merge)
-        if (news.isNotEmpty()) spread(emptyList(), news)
+        val news = datagram.sentAtMillis?.let { sentAt -> datagram.stages.filter { orderedMoves.merge(it, sentAt) } }
+        if (!news.isNullOrEmpty()) spread(emptyList(), news)
         datagram.alerts.forEach { coordinator.handleAlert(it, state, nowMillis) }
     }
 
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlane.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlane.kt
@@ -39,7 +39,7 @@
     private val events = ControlRing<ControlEvent>("control", settings.ringCapacity, metrics)
     private val summaries = ControlRing<OutcomeSummary>("summaries", settings.summaryRingCapacity, metrics)
     private val transport = PeerTransport(self.controlEndpoint, settings, metrics, EventHandler())
-    private val peerSender = PeerSender(self, transport, settings, metrics, callbacks.dropsControl)
+    private val peerSender = PeerSender(self, transport, settings, metrics, clock, callbacks.dropsControl)
     private val reader = LogReader(log, clock, settings, metrics, split(random), events::offer)
     private val writer = LogWriter(log, writerId(random), clock, settings, metrics, split(random), events::offer)
     private val dissemination = Dissemination(self, settings, peerSender, metrics, split(random), ::post)
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/OrderedMoves.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/OrderedMoves.kt
@@ -49,19 +49,43 @@
         return stageOf(record.move, next)
     }
 
-    /** Adopts [stage] if it supersedes the known one, and returns true if it did. */
+    /**
+     * Adopts [stage], read from the log, if it supersedes the known one, and returns true if it did. Its times are
+     * readings of another node's clock, so they are used only for a move that is not known here.
+     */
     fun merge(stage: OrderedStage): Boolean {
+        val plan = moves[stage.move]?.plan ?: planOf(stage, minOf(0, clock() - stage.startedAtMillis))
+        return adopt(stage, plan)
+    }
+
+    /**
+     * Adopts [stage], which another node sent when its clock read [sentAtMillis], if it supersedes the known one, and
+     * returns true if it did. The times are converted to this node's clock, because clocks may differ by seconds. The
+     * earlier start is the better one, since each node counts from the time at which it learned of the order.
+     */
+    fun merge(
+        stage: OrderedStage,
+        sentAtMillis: Long,
+    ): Boolean {
+        val known = moves[stage.move]?.plan
+        val received = planOf(stage, clock() - sentAtMillis)
+        return adopt(stage, if (known != null && known.startAtMillis <= received.startAtMillis) known else received)
+    }
+
+    private fun planOf(
+        stage: OrderedStage,
+        shiftMillis: Long,
+    ): MovePlan {
+        val end = stage.completeByMillis + shiftMillis
+        return MovePlan(stage.service, OTHER_RELEASES, stage.to, stage.startedAtMillis + shiftMillis, end, end)
+    }
+
+    private fun adopt(
+        stage: OrderedStage,
+        plan: MovePlan,
+    ): Boolean {
         val before = moves[stage.move]
         if (before != null && !supersedes(stage, before)) return false
-        val plan =
-            MovePlan(
-                stage.service,
-                OTHER_RELEASES,
-                stage.to,
-                stage.startedAtMillis,
-                stage.completeByMillis,
-                stage.completeByMillis,
-            )
         val next =
             MoveState(
                 plan = plan,
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/PeerMessages.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/PeerMessages.kt
@@ -22,13 +22,17 @@
     @SerialName("c") val isConfirmed: Boolean = true,
 )
 
-/** Content of one UDP datagram. Serial names are short to save bytes on the wire. */
+/**
+ * Content of one UDP datagram. Serial names are short to save bytes on the wire. [sentAtMillis] is the reading of the
+ * sender's clock, to which the times of [stages] refer; it is null without stages.
+ */
 @Serializable
 internal data class PeerDatagram(
     @SerialName("m") val message: MembershipMessage,
     @SerialName("p") val position: Position,
     @SerialName("a") val alerts: List<MoveAlert> = emptyList(),
     @SerialName("s") val stages: List<OrderedStage> = emptyList(),
+    @SerialName("t") val sentAtMillis: Long? = null,
 )
 
 /** Asks all nodes to send no calls to the new release of [move] until the log holds the final stage of the move. */
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/PeerSender.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/PeerSender.kt
@@ -17,6 +17,7 @@
     private val transport: PeerTransport,
     private val settings: ControlPlaneSettings,
     private val metrics: ControlMetrics,
+    private val clock: () -> Long,
     private val dropsControl: (FailureDomainId) -> Boolean,
 ) {
     private var domains: Map<Endpoint, FailureDomainId> = emptyMap()
@@ -39,7 +40,8 @@
         stages: List<OrderedStage> = emptyList(),
     ) {
         if (isDroppedTo(outgoing.to)) return
-        val full = PeerCodec.encode(PeerDatagram(outgoing.message, position, alerts, stages))
+        val sentAtMillis = if (stages.isEmpty()) null else clock()
+        val full = PeerCodec.encode(PeerDatagram(outgoing.message, position, alerts, stages, sentAtMillis))
         if (full.size <= settings.maxDatagramBytes) return transport.send(outgoing.to, full)
         val reduced = PeerCodec.encode(PeerDatagram(outgoing.message, position))
         if (reduced.size > settings.maxDatagramBytes) return metrics.countIgnored("own datagram too long")
--- a/peers/src/test/kotlin/dev/baobabhollow/peers/OrderedMovesSpec.kt
+++ b/peers/src/test/kotlin/dev/baobabhollow/peers/OrderedMovesSpec.kt
@@ -57,6 +57,55 @@
                     .sharePermille shouldBe 70
             }
 
+            // Guards against a substitute lead that ends a move seconds early or late because clocks differ.
+            it("keeps its schedule when a node with another clock sends a stage") {
+                listOf(-7_000L, 0L, 7_000L).forEach { difference ->
+                    var now = 1_000_000L
+                    val moves = OrderedMoves { now }
+                    moves.mergeInto(state)
+                    now += 40
+                    val start = 1_000_000L + difference
+                    val sent = stage(1, MovePhase.RAMPING).copy(startedAtMillis = start, completeByMillis = start + 100)
+                    moves.merge(sent, now + difference) shouldBe true
+                    val plan =
+                        moves
+                            .mergeInto(state)
+                            .moves
+                            .getValue(MOVE)
+                            .plan
+                    plan.startAtMillis shouldBe 1_000_000
+                    plan.completeByMillis shouldBe 1_000_100
+                }
+            }
+
+            it("takes over the schedule of a node that learned of the order earlier") {
+                var now = 1_000_000L
+                val moves = OrderedMoves { now }
+                moves.mergeInto(state)
+                val sent = stage(1, MovePhase.RAMPING).copy(startedAtMillis = 499_970, completeByMillis = 500_070)
+                now += 10
+                moves.merge(sent, 500_010) shouldBe true
+                moves
+                    .mergeInto(state)
+                    .moves
+                    .getValue(MOVE)
+                    .plan.completeByMillis shouldBe 1_000_070
+            }
+
+            // Guards against a move that seems not to have started after a restart with a clock that was set back.
+            it("has started in the past when it is read from the log") {
+                val moves = OrderedMoves { 1_000_000 }
+                moves.merge(stage(1, MovePhase.RAMPING).copy(startedAtMillis = 1_005_000, completeByMillis = 1_005_100))
+                val plan =
+                    moves
+                        .mergeInto(state)
+                        .moves
+                        .getValue(MOVE)
+                        .plan
+                plan.startAtMillis shouldBe 1_000_000
+                plan.completeByMillis shouldBe 1_000_100
+            }
+
             // Guards against nodes that end in different stages because messages arrive in different orders.
             it("ends in the same stage whatever the order of arrival") {
                 val news =
