Give every part of a node one monotonic clock

Cause: Node, the clients of the log and the key claims read the time of day by default; only the program on the consortium's platform and the key claims had a private mend. A step of the time of day ended calls, emptied the retry budget or prolonged a stop on the own platform.

Change: MonotonicClock reads the time of day once; it is the default everywhere and is handed on by Node.

--- a/cli/src/main/kotlin/dev/baobabhollow/cli/NodeCommand.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/NodeCommand.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrElse
+import dev.baobabhollow.model.MonotonicClock
 import dev.baobabhollow.node.EventLog
 import dev.baobabhollow.node.LOG_NODE_PROPERTY
 import dev.baobabhollow.node.Node
@@ -17,7 +18,6 @@
 import java.io.File
 import java.io.IOException
 import java.util.concurrent.CountDownLatch
-import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
 
 /** Runs a node until it gets SIGTERM or SIGINT. */
@@ -50,15 +50,9 @@
         System.setProperty("baobabhollow.logAppender", "queue")
     }
 
-    /**
-     * On a platform whose wall clocks may step, the node gets a clock that starts at the wall time and advances
-     * monotonically, so that a step does not end calls early.
-     */
     private fun nodeOf(settings: NodeSettings): Node {
         if (settings.platform == PlatformKind.OWN) return Node(settings)
-        val startMillis = System.currentTimeMillis()
-        val startNanos = System.nanoTime()
-        val clock = { startMillis + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos) }
+        val clock = MonotonicClock()
         return Node(settings, clock, adapter = ConsortiumPlatform(settings.platformLog, clock))
     }
 
--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -3,6 +3,7 @@
 import dev.baobabhollow.calls.RoutingTable
 import dev.baobabhollow.membership.FleetView
 import dev.baobabhollow.model.ConfigurationState
+import dev.baobabhollow.model.MonotonicClock
 import dev.baobabhollow.model.MoveId
 import dev.baobabhollow.model.NodeId
 import dev.baobabhollow.model.NodeRecord
@@ -32,9 +33,9 @@
 /** One node of the mesh: proxy, control plane and operator port. An instance can be started and stopped once. */
 class Node(
     private val settings: NodeSettings,
-    private val nowMillis: () -> Long = System::currentTimeMillis,
+    private val nowMillis: () -> Long = MonotonicClock(),
     registry: PrometheusRegistry = PrometheusRegistry(),
-    private val adapter: PlatformAdapter = OwnPlatform(settings.platformLog),
+    private val adapter: PlatformAdapter = OwnPlatform(settings.platformLog, nowMillis),
 ) {
     private val upSinceMillis = nowMillis()
     private val self = selfRecord(settings, upSinceMillis)
@@ -54,7 +55,7 @@
         } else {
             null
         }
-    private val keyClaims = logClaims?.let { NodeKeyClaims(self, ::incarnation, it, upSinceMillis) } ?: NoKeyClaims
+    private val keyClaims = logClaims?.let { NodeKeyClaims(self, ::incarnation, it, nowMillis) } ?: NoKeyClaims
     private val healthMonitor = settings.target?.let { TargetHealthMonitor(it, control::announceTarget) }
     private val scheduler =
         Executors.newSingleThreadScheduledExecutor {
--- a/node/src/main/kotlin/dev/baobabhollow/node/NodeKeyClaims.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/NodeKeyClaims.kt
@@ -17,7 +17,6 @@
 import dev.baobabhollow.proxy.claims.LogClaims
 import java.security.SecureRandom
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.TimeUnit
 
 /**
  * Idempotency key claims for the proxy of [self]. Claims of issued keys are decided from memory alone, those of
@@ -30,15 +29,11 @@
     private val self: NodeRecord,
     private val incarnation: () -> Long,
     private val log: LogClaims,
-    startMillis: Long,
+    private val clock: () -> Long,
 ) : KeyClaims {
     private val outcomes = KeyOutcomes()
     private val handles = ConcurrentHashMap<String, ClaimHandle>()
     private val random = SecureRandom()
-    private val startNanos = System.nanoTime()
-
-    /** Unaffected by clock adjustments, after which an expired key could be mistaken for a new one. */
-    private val monotonicMillis = { startMillis + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos) }
 
     override fun issuerOf(key: String): KeyIssuer? {
         val issued = parse(key) as? IssuedKey ?: return null
@@ -57,7 +52,7 @@
         decide: (KeyDecision) -> Unit,
     ) {
         val parsed = parse(key) ?: return decide(KeyDecision.Expired)
-        when (val start = outcomes.begin(parsed, ANY_REQUEST, monotonicMillis())) {
+        when (val start = outcomes.begin(parsed, ANY_REQUEST, clock())) {
             is KeyBeginResult.Started -> claimStarted(parsed, callDeadlineMillis, decide)
             is KeyBeginResult.Answered -> decide(KeyDecision.Answered(start.response.toStored()))
             is KeyBeginResult.Refused -> decide(KeyDecision.Expired)
--- a/node/src/main/kotlin/dev/baobabhollow/node/OwnPlatform.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/OwnPlatform.kt
@@ -11,8 +11,9 @@
 /** Adapter for the mesh's native protocols. Targets do not announce themselves; their health endpoints are polled. */
 internal class OwnPlatform(
     endpoint: Endpoint,
+    nowMillis: () -> Long,
 ) : PlatformAdapter {
-    override val log = HttpPlatformLog(endpoint)
+    override val log = HttpPlatformLog(endpoint, nowMillis = nowMillis)
     override val protocol: CallProtocol = MeshProtocol
     override val directory: NodeDirectory? = null
     override val readinessPath = "/readyz"
--- a/node/src/test/kotlin/dev/baobabhollow/node/NodeKeyClaimsSpec.kt
+++ b/node/src/test/kotlin/dev/baobabhollow/node/NodeKeyClaimsSpec.kt
@@ -68,7 +68,7 @@
         fun claims(
             incarnation: Long,
             current: Long = incarnation,
-        ) = NodeKeyClaims(record(incarnation), { current }, log, START)
+        ) = NodeKeyClaims(record(incarnation), { current }, log, { START })
 
         describe("issued keys while the platform is down") {
             it("are granted once and then answered from memory, so that a retry is not executed again") {
--- a/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/LogHttpClient.kt
+++ b/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/LogHttpClient.kt
@@ -12,6 +12,7 @@
 import dev.baobabhollow.model.LogError
 import dev.baobabhollow.model.LogRecord
 import dev.baobabhollow.model.ModelJson
+import dev.baobabhollow.model.MonotonicClock
 import dev.baobabhollow.model.PlatformLog
 import dev.baobabhollow.model.StreamName
 import io.netty.buffer.ByteBuf
@@ -34,7 +35,7 @@
 class LogHttpClient(
     private val endpoint: Endpoint,
     limits: LogClientLimits = LogClientLimits(),
-    private val nowMillis: () -> Long = System::currentTimeMillis,
+    private val nowMillis: () -> Long = MonotonicClock(),
 ) : AutoCloseable {
     private val pool = ConnectionPool(endpoint, limits)
 
--- a/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/RetryingAppender.kt
+++ b/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/RetryingAppender.kt
@@ -6,6 +6,7 @@
 import dev.baobabhollow.model.AppendReceipt
 import dev.baobabhollow.model.LogError
 import dev.baobabhollow.model.LogRecord
+import dev.baobabhollow.model.MonotonicClock
 import dev.baobabhollow.model.PlatformLog
 import dev.baobabhollow.model.StreamName
 import java.util.concurrent.TimeUnit
@@ -33,7 +34,7 @@
     private val log: PlatformLog,
     private val retryLimitMillis: Long,
     private val delays: RetryDelays = RetryDelays(),
-    private val nowMillis: () -> Long = System::currentTimeMillis,
+    private val nowMillis: () -> Long = MonotonicClock(),
     private val elapsedMillis: () -> Long = { TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) },
     private val pause: (millis: Long) -> Unit = Thread::sleep,
     private val random: Random = Random.Default,
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/claims/LogClaims.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/claims/LogClaims.kt
@@ -1,6 +1,7 @@
 package dev.baobabhollow.proxy.claims
 
 import dev.baobabhollow.calls.CallerKey
+import dev.baobabhollow.model.MonotonicClock
 import dev.baobabhollow.model.PlatformLog
 import dev.baobabhollow.model.WriterId
 import org.jctools.queues.MpscBlockingConsumerArrayQueue
@@ -18,7 +19,7 @@
     log: PlatformLog,
     private val writer: WriterId,
     private val settings: ClaimsSettings = ClaimsSettings(),
-    private val nowMillis: () -> Long = System::currentTimeMillis,
+    private val nowMillis: () -> Long = MonotonicClock(),
 ) : AutoCloseable {
     /** Counts since the start. */
     val counters = ClaimCounters()
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/CallProtocolSpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/CallProtocolSpec.kt
@@ -160,7 +160,11 @@
                 connection.respond("", "503 full", "not-run: 1\r\n$id")
                 val second = connection.read() ?: return@ScriptedTarget
                 runs.incrementAndGet()
-                connection.respond("", "503 full", "not-run: 1\r\n$copyHeaders".replace("ID", first.headers["id"].orEmpty()))
+                connection.respond(
+                    "",
+                    "503 full",
+                    "not-run: 1\r\n$copyHeaders".replace("ID", first.headers["id"].orEmpty()),
+                )
                 Thread.sleep(50)
                 connection.respond("done", headers = "id: ${second.headers["id"]}\r\n")
                 connection.read()
