Send a request only after a lagging event loop has read all connections

Cause: a request that waited for a slot or a connection was sent as soon as it got one. Only new requests and retries were checked.

Change: UpstreamCall, through which every request leaves a node, waits for one more loop iteration while the loop lags; the two earlier checks are gone. The remaining time is written when the request is sent, because a call that waited for a connection passed on an old one.

--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ConnectionPool.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ConnectionPool.kt
@@ -44,6 +44,7 @@
     private val settings: ProxySettings,
     private val limit: ConnectionLimit,
     private val nowMillis: () -> Long,
+    val isLagging: () -> Boolean,
 ) {
     private val idle = ConcurrentLinkedDeque<UpstreamConnection>()
     private val address = InetSocketAddress(endpoint.host, endpoint.port)
@@ -72,6 +73,9 @@
         loop.schedule(step, delayMillis, TimeUnit.MILLISECONDS)
     }
 
+    /** Runs [step] after the event loop has read all connections once more. */
+    fun afterNextIteration(step: () -> Unit) = loop.afterNextIteration(step)
+
     /** Calls [ready] with a connection, or with null and the reason; the reason is null if connecting failed. */
     fun acquire(ready: (UpstreamConnection?, FailureReason?) -> Unit) = acquire(LIMIT_RETRIES, ready)
 
@@ -145,17 +149,24 @@
     }
 }
 
+/** Runs [step] after the loop has read all connections once more, which two nested scheduled tasks ensure. */
+internal fun EventLoop.afterNextIteration(step: () -> Unit) {
+    schedule({ schedule(step, 0, TimeUnit.MILLISECONDS) }, 0, TimeUnit.MILLISECONDS)
+}
+
 /** The connection pools of one event loop to owner nodes. */
 internal class OwnerPools(
     private val loop: EventLoop,
     private val settings: ProxySettings,
     private val nowMillis: () -> Long,
+    private val isLagging: () -> Boolean,
 ) {
     private val pools = HashMap<Endpoint, ConnectionPool>()
 
     fun of(endpoint: Endpoint): ConnectionPool =
         pools.getOrPut(endpoint) {
-            ConnectionPool(loop, endpoint, settings, ConnectionLimit(settings.connectionsPerOwnerAndLoop), nowMillis)
+            val limit = ConnectionLimit(settings.connectionsPerOwnerAndLoop)
+            ConnectionPool(loop, endpoint, settings, limit, nowMillis, isLagging)
         }
 
     fun sweep() {
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamCall.kt
@@ -120,8 +120,6 @@
 
     fun updateReading() = connection.updateReading()
 
-    fun afterNextIteration(step: () -> Unit) = connection.afterNextIteration(step)
-
     /** Sends `100 Continue` if the caller expects it. */
     fun sendContinue() {
         if (HttpUtil.is100ContinueExpected(head)) emit(continueResponse())
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamHandler.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamHandler.kt
@@ -49,9 +49,6 @@
     private var isEndToSkip = false
     private var isProcessing = false
 
-    /** True while a request that a lagging event loop has read waits for a possible close of its connection. */
-    private var isHeld = false
-
     /** True while the rest of a request whose response has been sent is read, before the connection is closed. */
     private var isLingering = false
 
@@ -99,8 +96,7 @@
         isEndToSkip = call.hasNoBody
         // Counted from here on, so that draining waits for requests that are not opened yet too.
         node.exchangeStarted()
-        if (waiting.isEmpty() && node.isLagging(loop)) holdRequests()
-        if (isHeld || waiting.isNotEmpty() || !mayOpen(call)) enqueue(call) else open(call)
+        if (waiting.isNotEmpty() || !mayOpen(call)) enqueue(call) else open(call)
         if (head is HttpContent && waiting.isNotEmpty()) {
             enqueue(head)
         } else if (head is HttpContent) {
@@ -108,23 +104,6 @@
         }
     }
 
-    /**
-     * Holds new requests until the event loop has read all connections once more. The caller may have disconnected
-     * during the lag, and the close of a connection is read one loop iteration after its last request.
-     */
-    private fun holdRequests() {
-        isHeld = true
-        afterNextIteration {
-            isHeld = false
-            processWaiting()
-        }
-    }
-
-    /** Runs [step] after the event loop has read all connections once more, which two nested scheduled tasks ensure. */
-    fun afterNextIteration(step: () -> Unit) {
-        loop.schedule({ loop.schedule(step, 0, TimeUnit.MILLISECONDS) }, 0, TimeUnit.MILLISECONDS)
-    }
-
     private fun mayOpen(call: DownstreamCall): Boolean {
         val last = calls.lastOrNull() ?: return true
         return last.isRequestDone && calls.size < node.settings.maxPipelinedCalls && port.mayOverlap(call.head)
@@ -265,7 +244,7 @@
     }
 
     private fun openNext(): Boolean {
-        if (isHeld || !context.channel().isActive) return false
+        if (!context.channel().isActive) return false
         val next = waiting.firstOrNull() ?: return false
         if (next is DownstreamCall && !mayOpen(next)) return false
         waiting.removeFirst()
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
@@ -94,11 +94,6 @@
         headers.set(MeshHeaders.RELEASE, chosen.release.value)
         headers.set(MeshHeaders.CALL, callId)
         headers.set(MeshHeaders.DEADLINE, deadlineMillis - node.settings.hopMarginMillis)
-        if (node.settings.sendsRemainingTime) {
-            val startMillis = node.nowMillis() + node.settings.hopMarginMillis
-            headers.set(MeshHeaders.TIME_LEFT, deadlineMillis - startMillis)
-            headers.set(MeshHeaders.USEFUL_LEFT, deadlines.usefulMillis - startMillis)
-        }
         // An earlier attempt at the local target has removed this header from the request.
         node.settings.callerService?.let { headers.set(MeshHeaders.CALLER, it.value) }
         if (attempts > 1) headers.set(MeshHeaders.RETRY, "1")
@@ -138,8 +133,15 @@
         replay.clear()
     }
 
-    override fun onSending() =
+    /** Writes the remaining time only now, since the attempt may have waited for a connection. */
+    override fun onSending() {
+        if (node.settings.sendsRemainingTime) {
+            val startMillis = node.nowMillis() + node.settings.hopMarginMillis
+            head.headers().set(MeshHeaders.TIME_LEFT, deadlineMillis - startMillis)
+            head.headers().set(MeshHeaders.USEFUL_LEFT, deadlines.usefulMillis - startMillis)
+        }
         node.logDelay(callerCallId, "entry", attemptMicros - startMicros, node.nowMicros() - attemptMicros)
+    }
 
     override fun onResponseHead(head: HttpResponse) {
         val headers = head.headers()
@@ -217,9 +219,7 @@
         attempt?.abandon()
         attempt = null
         finishAttempt(health, isMeasured = false)
-        if (!node.isLagging(downstream.loop)) return send(next)
-        // The caller may have disconnected while the loop lagged, and the loop reads that after the failure.
-        downstream.afterNextIteration { if (!isEnded) send(next) }
+        send(next)
     }
 
     private fun finishAttempt(
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
@@ -69,13 +69,12 @@
     fun pools(loop: EventLoop): LoopPools = loops[loop] ?: loops.computeIfAbsent(loop) { newPools(it) }
 
     private fun newPools(loop: EventLoop): LoopPools {
-        val target = targetEndpoint?.let { ConnectionPool(loop, it, settings, targetLimit, nowMillis) }
-        return LoopPools(OwnerPools(loop, settings, nowMillis), target, LoopLag(nowMillis))
+        val lag = LoopLag(nowMillis)
+        val isLagging = { lag.millis >= settings.loopLagThresholdMillis }
+        val target = targetEndpoint?.let { ConnectionPool(loop, it, settings, targetLimit, nowMillis, isLagging) }
+        return LoopPools(OwnerPools(loop, settings, nowMillis, isLagging), target, lag)
     }
 
-    /** True if [loop] lags so much that callers of the requests it reads may have disconnected. Call on that loop. */
-    fun isLagging(loop: EventLoop): Boolean = pools(loop).lag.millis >= settings.loopLagThresholdMillis
-
     /** Returns the refusal of a new call while the lag of [loop] exceeds the limit, or null. Call on that loop. */
     fun lagRefusal(loop: EventLoop): CallFailure? {
         val limit = settings.maxLoopLagMillis ?: return null
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
@@ -144,10 +144,8 @@
         if (pool == null) return finish(CallFailure.notRun(FailureReason.WRONG_TARGET))
         if (node.nowMillis() >= deadlineMillis) return finish(CallFailure.deadlinePassed(mayHaveRun = false))
         startMicros = node.nowMicros()
-        val protocol = node.settings.protocol
-        val call = UpstreamCall(pool, callId, FailureReason.TARGET_UNREACHABLE, protocol, this)
+        val call = UpstreamCall(pool, callId, FailureReason.TARGET_UNREACHABLE, node.settings.protocol, this)
         upstream = call
-        protocol.writeTargetMetadata(request.headers(), targetMetadata(request))
         call.start(request)
         pending.drain(call::body)
         call.flush()
@@ -206,8 +204,11 @@
         if (upstream == null) cancel() else upstream?.abandon()
     }
 
-    override fun onSending() =
+    /** Writes the remaining time only now, since the call may have waited for a connection. */
+    override fun onSending() {
+        head?.let { node.settings.protocol.writeTargetMetadata(it.headers(), targetMetadata(it)) }
         node.logDelay(callId, "owner", startMicros - submittedMicros, node.nowMicros() - startMicros)
+    }
 
     override fun onResponseHead(head: HttpResponse) {
         val code = head.status().code()
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamCall.kt
@@ -39,7 +39,35 @@
 
     override fun start(head: HttpRequest) {
         isEchoExpected = protocol.isCallIdEchoed(head.headers())
-        pool.acquire { acquired, failure -> onConnection(head, acquired, failure) }
+        acquire(head, REACQUIRES)
+    }
+
+    /**
+     * Acquires a connection. While the event loop lags, the request is sent only after the loop has read all
+     * connections once more: the caller may have disconnected during the lag, and the event that let the call proceed,
+     * such as a free slot or a new connection, may be handled before that close.
+     */
+    private fun acquire(
+        head: HttpRequest,
+        reacquires: Int,
+    ) {
+        pool.acquire { acquired, failure ->
+            if (acquired == null || !pool.isLagging()) {
+                onConnection(head, acquired, failure)
+            } else {
+                pool.afterNextIteration { onConnectionAfterLag(head, acquired, reacquires) }
+            }
+        }
+    }
+
+    private fun onConnectionAfterLag(
+        head: HttpRequest,
+        acquired: UpstreamConnection,
+        reacquires: Int,
+    ) {
+        val isClosed = state != State.ENDED && !acquired.isUsable
+        if (isClosed && reacquires > 0) return acquire(head, reacquires - 1)
+        onConnection(head, acquired.takeUnless { isClosed }, null)
     }
 
     private fun onConnection(
@@ -182,6 +210,9 @@
     }
 
     private companion object {
+        /** Connections that may be closed by the peer while a lagging event loop reads once more. */
+        const val REACQUIRES = 1
+
         /** Discarding a longer rest costs more than a new connection. */
         const val MAX_DISCARDED_BYTES = 65_536L
 
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/CallProtocolSpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/CallProtocolSpec.kt
@@ -10,8 +10,12 @@
 import io.kotest.matchers.shouldBe
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
 
 /** A protocol with headers of its own, so that the tests do not depend on a platform. */
 private object CustomHeaderProtocol : CallProtocol {
@@ -98,6 +102,31 @@
                 working.close()
             }
 
+            // Guards against a target that works on after its caller's deadline, since the call waited for a connection.
+            it("states the time that is left when it has waited for a connection") {
+                val server = ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))
+                // Connections that are not accepted fill the backlog, so the next one is established only on a retry.
+                val fillers = List(2) { Socket(server.inetAddress, server.localPort) }
+                val left = Signal<Long>()
+                thread(isDaemon = true) {
+                    Thread.sleep(300)
+                    while (true) {
+                        val connection = RawConnection(server.accept())
+                        thread(isDaemon = true) {
+                            val request = connection.read() ?: return@thread
+                            left.send(request.headers.getValue("left").toLong())
+                            connection.respond("ok")
+                        }
+                    }
+                }
+                TestMesh(listOf(server.localPort), settings = settings.copy(connectTimeoutMillis = 5_000)).use { mesh ->
+                    call(mesh.port, "/orders/1", "POST", "left: 6000\r\n")?.body shouldBe "ok"
+                }
+                left.await() shouldBeInRange 1_000L..5_500L
+                fillers.forEach { it.close() }
+                server.close()
+            }
+
             // Guards against a refusal by a target that counts as a run, and against a second run that is not allowed.
             it("is retried at another target when the first one reports that it has not run") {
                 val runs = AtomicInteger()
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/DisconnectedCallerSpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/DisconnectedCallerSpec.kt
@@ -119,6 +119,53 @@
                 targets.forEach { it.close() }
             }
         }
+
+        describe("a call that gets a slot after its caller has disconnected from a lagging node") {
+            // Guards against work for disconnected callers: the slot may be freed by a response that is read first.
+            it("is not sent to the target") {
+                val waitingCalls = AtomicInteger()
+                val held = LinkedBlockingQueue<RawConnection>()
+                val target =
+                    ScriptedTarget { connection ->
+                        while (true) {
+                            val request = connection.read() ?: break
+                            if (request.path.startsWith("/orders")) waitingCalls.incrementAndGet()
+                            held.put(connection)
+                        }
+                    }
+                val clock = StallingClock()
+                val mesh =
+                    TestMesh(
+                        listOf(target.port),
+                        slots = 1,
+                        settings = SETTINGS,
+                        nowMillis = clock,
+                        entryNowMillis = System::currentTimeMillis,
+                    )
+                mesh.use {
+                    repeat(ROUNDS) { round ->
+                        val first = connect(mesh.port)
+                        first.send("GET /stock/$round HTTP/1.1\r\nhost: h\r\n\r\n")
+                        val running = checkNotNull(held.poll(WAIT_SECONDS, TimeUnit.SECONDS))
+                        val second = connect(mesh.port)
+                        second.send("GET /orders/$round HTTP/1.1\r\nhost: h\r\n\r\n")
+                        awaitUntil("a call waits") { mesh.owners[0].loadPermille == 2_000 }
+                        clock.stallDuring {
+                            running.respond("ok")
+                            Thread.sleep(20)
+                            second.close()
+                            Thread.sleep(50)
+                        }
+                        first.read()?.body shouldBe "ok"
+                        first.close()
+                        awaitUntil("the calls have ended") { mesh.owners[0].inFlight == 0 }
+                        held.clear()
+                    }
+                }
+                waitingCalls.get() shouldBe 0
+                target.close()
+            }
+        }
     })
 
 private fun request(round: Int) = "GET /stock/$round HTTP/1.1\r\nHost: h\r\n\r\n".toByteArray()
