Spread targets that can be used at once

Cause: after a power loss all nodes know each other within a second, but the record of a target that a node finds was only piggybacked on probes, two a message.

Change: a target that appears is spread like one that leaves, three rounds by its own node and one by each that hears of it, in up to three datagrams a round. Withdrawn targets go first.

--- a/membership/src/main/kotlin/dev/baobabhollow/membership/MembershipState.kt
+++ b/membership/src/main/kotlin/dev/baobabhollow/membership/MembershipState.kt
@@ -79,7 +79,7 @@
         val after = change(before).copy(node = selfId, failureDomain = domain, incarnation = before.incarnation + 1)
         table.put(after)
         updates.add(after)
-        if (isUrgent(after)) urgent.add(after)
+        if (isUrgent(after, before)) urgent.add(after, UrgentUpdates.RELIABLE_ROUNDS)
     }
 
     /** Merges [record] of any node. If it is new, it is also spread further, unless [shouldSpread] is false. */
@@ -93,7 +93,7 @@
         val before = table[record.node]
         if (!table.merge(record, nowMillis)) return
         if (shouldSpread) updates.add(record)
-        if (shouldSpread && isUrgent(record) && (before == null || !isUrgent(before))) urgent.add(record)
+        if (shouldSpread && isUrgent(record, before)) urgent.add(record, relayRounds(record))
         if (record.failureDomain != domain) return
         if (record.status == NodeStatus.SUSPECT) {
             suspicions.start(record, nowMillis, domainSize)
@@ -128,10 +128,32 @@
         }
     }
 
-    private fun isUrgent(record: NodeRecord): Boolean {
-        val target = record.target
-        return record.status == NodeStatus.LEAVING || (target != null && target.status != TargetStatus.SERVING)
-    }
+    /**
+     * True if [record] changes whether the node's target can be used. Targets that appear are urgent too: after a mass
+     * restart, all calls go to the few targets that are known.
+     */
+    private fun isUrgent(
+        record: NodeRecord,
+        before: NodeRecord?,
+    ): Boolean =
+        if (isWithdrawn(record)) {
+            before == null || !isWithdrawn(before)
+        } else {
+            isServing(record) &&
+                !isServing(before)
+        }
+
+    private fun relayRounds(record: NodeRecord) =
+        if (isWithdrawn(record)) UrgentUpdates.RELIABLE_ROUNDS else UrgentUpdates.RELAYED_ROUNDS
+
+    private fun isServing(record: NodeRecord?) =
+        record?.status == NodeStatus.ALIVE && record.target?.status == TargetStatus.SERVING
+}
+
+/** True if calls must not go to the target of [record]'s node although the node runs. */
+internal fun isWithdrawn(record: NodeRecord): Boolean {
+    val target = record.target
+    return record.status == NodeStatus.LEAVING || (target != null && target.status != TargetStatus.SERVING)
 }
 
 /** Upper bound of the encoded size of a message without its updates and lists, in bytes. */
--- a/membership/src/main/kotlin/dev/baobabhollow/membership/SwimMembership.kt
+++ b/membership/src/main/kotlin/dev/baobabhollow/membership/SwimMembership.kt
@@ -113,7 +113,10 @@
     private fun spreadUrgent(nowMillis: Long): List<OutgoingMessage> {
         if (state.urgent.isEmpty || nowMillis < nextUrgentMillis) return emptyList()
         nextUrgentMillis = nowMillis + settings.urgentPeriodMillis
-        val records = state.urgent.takeRound(settings.maxMessageBytes - MESSAGE_OVERHEAD_BYTES)
+        return state.urgent.takeRound(settings.maxMessageBytes - MESSAGE_OVERHEAD_BYTES).flatMap(::spreadBatch)
+    }
+
+    private fun spreadBatch(records: List<NodeRecord>): List<OutgoingMessage> {
         val gossip = Gossip(state.senderRecord(), records.map(CompactRecord::of))
         val isOwn = records.any { it.node == state.selfId }
         val neighbourSample = state.pick(state.neighbours, settings.urgentFanOut)
--- a/membership/src/main/kotlin/dev/baobabhollow/membership/UrgentUpdates.kt
+++ b/membership/src/main/kotlin/dev/baobabhollow/membership/UrgentUpdates.kt
@@ -2,31 +2,46 @@
 
 import dev.baobabhollow.model.NodeId
 import dev.baobabhollow.model.NodeRecord
-import dev.baobabhollow.model.NodeStatus
 
-/** Records sent at once, in [ROUNDS] rounds, because calls must no longer go to the targets of their nodes. */
+/**
+ * Records that are sent at once instead of with the next probes, because calls must no longer go to the targets of
+ * their nodes, or can go there now.
+ */
 internal class UrgentUpdates {
     private val rounds = LinkedHashMap<NodeId, Int>()
     private val records = HashMap<NodeId, NodeRecord>()
 
     val isEmpty: Boolean get() = rounds.isEmpty()
 
-    fun add(record: NodeRecord) {
-        if (rounds.size >= MAX_RECORDS) return
-        rounds[record.node] = ROUNDS
+    /** Adds [record], to be sent in [rounds] rounds. */
+    fun add(
+        record: NodeRecord,
+        rounds: Int,
+    ) {
+        if (this.rounds.size >= MAX_RECORDS) return
+        this.rounds[record.node] = rounds
         records[record.node] = record
     }
 
-    /** Returns the records of the next round that fit [maxBytes]. */
-    fun takeRound(maxBytes: Int): List<NodeRecord> {
-        var remaining = maxBytes
-        val taken =
-            records.values.sortedByDescending { it.status }.filter {
-                val bytes = CompactRecord.of(it).maxBytes
-                (bytes <= remaining).also { fits -> if (fits) remaining -= bytes }
+    /**
+     * Returns the records of the next round in at most [MAX_BATCHES] batches that each fit [maxBytes]. Withdrawn targets
+     * go first, then what was added first.
+     */
+    fun takeRound(maxBytes: Int): List<List<NodeRecord>> {
+        val batches = mutableListOf<MutableList<NodeRecord>>()
+        var remaining = 0
+        for (record in rounds.keys.map(records::getValue).sortedByDescending(::isWithdrawn)) {
+            val bytes = CompactRecord.of(record).maxBytes
+            if (bytes > remaining) {
+                if (batches.size == MAX_BATCHES) break
+                batches += mutableListOf<NodeRecord>()
+                remaining = maxBytes
             }
-        taken.forEach { countRound(it.node) }
-        return taken
+            batches.last() += record
+            remaining -= bytes
+        }
+        batches.forEach { batch -> batch.forEach { countRound(it.node) } }
+        return batches
     }
 
     private fun countRound(node: NodeId) {
@@ -37,8 +52,13 @@
         records -= node
     }
 
-    private companion object {
-        const val ROUNDS = 3
-        const val MAX_RECORDS = 1_024
+    companion object {
+        /** Rounds of a record that must reach all nodes soon despite lost datagrams. */
+        const val RELIABLE_ROUNDS = 3
+
+        /** Rounds of another node's target that can be used now. After a mass restart there is one for each node. */
+        const val RELAYED_ROUNDS = 1
+        private const val MAX_RECORDS = 1_024
+        private const val MAX_BATCHES = 3
     }
 }
--- a/membership/src/test/kotlin/dev/baobabhollow/membership/VirtualFleet.kt
+++ b/membership/src/test/kotlin/dev/baobabhollow/membership/VirtualFleet.kt
@@ -33,6 +33,10 @@
     }
 
     private val random = SplittableRandom(seed)
+
+    /** Bytes of all updates that were sent, as an upper bound of their encoded size. */
+    var sentUpdateBytes = 0L
+        private set
     private val arrivals = PriorityQueue<Arrival>(compareBy({ it.atMillis }, { it.order }))
     private val byEndpoint = HashMap<Endpoint, Node>()
     private var sent = 0L
@@ -50,8 +54,9 @@
         name: String,
         incarnation: Long = 1,
         seeds: List<String> = emptyList(),
+        hasTarget: Boolean = true,
     ): Node {
-        val record = recordOf(name, incarnation)
+        val record = recordOf(name, incarnation).let { if (hasTarget) it else it.copy(target = null) }
         val node = Node(record, membership(record, settings, random.split()))
         nodes[record.node] = node
         byEndpoint[record.controlEndpoint] = node
@@ -85,6 +90,12 @@
         return limitMillis
     }
 
+    /** Sends what [node] sends when its directory lists [contacts]. */
+    fun join(
+        node: Node,
+        contacts: List<Node>,
+    ) = send(node, node.membership.join(contacts.map { it.record.controlEndpoint }, nowMillis))
+
     /** Delivers [message] to [to] at once and sends the responses. */
     fun inject(
         to: Node,
@@ -127,6 +138,7 @@
         from: Node,
         outgoing: OutgoingMessage,
     ) {
+        sentUpdateBytes += outgoing.message.updates.sumOf { it.maxBytes }
         val delay = 1 + random.nextLong(maxDelayMillis)
         arrivals += Arrival(nowMillis + delay, sent++, from.record.controlEndpoint, outgoing)
     }
--- a/peers/src/test/kotlin/dev/baobabhollow/peers/DistributionSpec.kt
+++ b/peers/src/test/kotlin/dev/baobabhollow/peers/DistributionSpec.kt
@@ -4,6 +4,7 @@
 import dev.baobabhollow.model.NodeId
 import dev.baobabhollow.model.NodeStatus
 import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.doubles.shouldBeLessThanOrEqual
 import io.kotest.matchers.ints.shouldBeLessThan
@@ -47,11 +48,13 @@
                 fleet.cutFromPeers += FailureDomainId("b")
                 fleet.publish(2)
                 fleet.awaitAll(5) { it.plane.state.version == if (it.record.failureDomain.value == "b") 2L else 3L }
-                fleet.nodes
-                    .getValue(NodeId("a-1"))
-                    .plane.view
-                    .liveIn(FailureDomainId("b"))
-                    .size shouldBe 3
+                val view =
+                    fleet.nodes
+                        .getValue(NodeId("a-1"))
+                        .plane.view
+                withClue({ "a-1 knows ${view.nodes.values.map { "${it.node} ${it.status} ${it.incarnation}" }}" }) {
+                    view.liveIn(FailureDomainId("b")).size shouldBe 3
+                }
                 fleet.cutFromPeers.clear()
                 fleet.awaitAll(5) { it.plane.state.version == 3L }
                 fleet.cutFromLog.clear()
