Measure pipelined requests and slow readers in bench calls

Change: a caller that sends several requests at once, targets with long responses, and callers that read them slowly, with the peak of direct memory.

--- a/bench/src/main/kotlin/dev/baobabhollow/bench/calls/BenchMesh.kt
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/calls/BenchMesh.kt
@@ -60,7 +60,11 @@
         MeshConfig(
             mapOf(MEMBER to MemberConfig("bench")),
             mapOf(SERVICE to ServiceConfig(MEMBER, setOf(RELEASE), RELEASE)),
-            mapOf(RouteId("bench") to RouteConfig(SERVICE, "/bench", timeoutMillis = options.deadlineMillis)),
+            mapOf(
+                RouteId("bench") to RouteConfig(SERVICE, "/bench", timeoutMillis = options.deadlineMillis),
+                RouteId("reads") to
+                    RouteConfig(SERVICE, "/reads", idempotent = true, timeoutMillis = READ_DEADLINE_MILLIS),
+            ),
         )
 
     private fun record(
@@ -98,6 +102,7 @@
     private companion object {
         const val LOOPBACK = "127.0.0.1"
         const val CONNECTIONS_PER_SLOT = 8
+        const val READ_DEADLINE_MILLIS = 60_000L
         val MEMBER = MemberId("bench")
         val SERVICE = ServiceId("bench")
         val RELEASE = ReleaseId("1")
--- a/bench/src/main/kotlin/dev/baobabhollow/bench/calls/BenchTarget.kt
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/calls/BenchTarget.kt
@@ -19,14 +19,20 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * HTTP server that simulates a target with [slots] workers, each busy for [serviceMillis] per call. If [serviceMillis]
+ * HTTP server that simulates a target with [slots] workers, each busy for [serviceMillis] per call, with bodies of
+ * `responseBytes`. If [serviceMillis]
  * is 0, calls are answered immediately. Calls beyond the slots wait in an unbounded FIFO queue; closing a connection
  * cancels its call.
  */
 internal class BenchTarget(
     private val slots: Int,
     private val serviceMillis: Long,
+    responseBytes: Int = SHORT_RESPONSE_BYTES,
 ) : AutoCloseable {
+    private val response =
+        "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: $responseBytes\r\n\r\n"
+            .plus("x".repeat(responseBytes))
+            .toByteArray(Charsets.US_ASCII)
     private val group = MultiThreadIoEventLoopGroup(1, DefaultThreadFactory("target"), NioIoHandler.newFactory())
     private val waiting = ArrayDeque<Connection>()
     private var running = 0
@@ -77,7 +83,7 @@
         }
 
         private fun respond() {
-            context.writeAndFlush(Unpooled.wrappedBuffer(RESPONSE), context.voidPromise())
+            context.writeAndFlush(Unpooled.wrappedBuffer(response), context.voidPromise())
         }
 
         override fun channelInactive(ctx: ChannelHandlerContext) {
@@ -102,8 +108,6 @@
 
     private companion object {
         const val BACKLOG = 4_096
-        val RESPONSE =
-            ("HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 100\r\n\r\n" + "x".repeat(100))
-                .toByteArray(Charsets.US_ASCII)
+        const val SHORT_RESPONSE_BYTES = 100
     }
 }
--- a/bench/src/main/kotlin/dev/baobabhollow/bench/calls/CallsBench.kt
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/calls/CallsBench.kt
@@ -7,7 +7,11 @@
     private val options: CallsBenchOptions,
 ) {
     /** Runs all measurements; takes about two minutes with default options. */
-    fun run(): CallsReport = CallsReport(measureLatency(), measureOverload())
+    fun run(): CallsReport {
+        val connections = ConnectionsBench(options)
+        val pipelining = connections.measurePipelining()
+        return CallsReport(measureLatency(), measureOverload(), pipelining, connections.measureSlowReaders())
+    }
 
     /**
      * Measures calls sent directly to a target, through its owner node, and through an entry node and the owner node.
--- a/bench/src/main/kotlin/dev/baobabhollow/bench/calls/CallsBenchOptions.kt
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/calls/CallsBenchOptions.kt
@@ -17,6 +17,13 @@
     val slowServiceMillis: Long = 200,
     /** Deadline of each call; later responses do not count towards goodput. */
     val deadlineMillis: Long = 250,
+    /** Numbers of requests that a pipelining caller sends at once. */
+    val pipelineDepths: List<Int> = listOf(1, 4),
+    val pipelineRounds: Int = 100,
+    /** Callers that read a response of [longResponseBytes] in chunks of 16 KB with [slowReadPauseMillis] in between. */
+    val slowReaders: Int = 100,
+    val longResponseBytes: Int = 2_000_000,
+    val slowReadPauseMillis: Long = 25,
     val generatorLoops: Int = 2,
     val eventLoopsPerNode: Int = 1,
     val seed: Long = 1,
--- a/bench/src/main/kotlin/dev/baobabhollow/bench/calls/CallsReport.kt
+++ b/bench/src/main/kotlin/dev/baobabhollow/bench/calls/CallsReport.kt
@@ -37,6 +37,8 @@
 data class CallsReport(
     val latency: List<LatencyRow>,
     val overload: List<OverloadRow>,
+    val pipelining: List<PipelineRow>,
+    val slowReaders: SlowReaderRow,
 ) {
     /** True if the added p99 latency of each path and the nodes' goodput at the highest load meet the objectives. */
     val meetsObjectives: Boolean
@@ -50,7 +52,7 @@
     /** Returns the report as JSON. */
     fun toJson(): String = Json { prettyPrint = true }.encodeToString(serializer(), this)
 
-    /** Returns the report as two tables. */
+    /** Returns the report as tables. */
     fun toTable(): String =
         buildString {
             appendLine(
@@ -89,6 +91,16 @@
                     ),
                 )
             }
+            appendLine()
+            appendLine("requests at once  requests   p50 ms   p99 ms")
+            pipelining.forEach {
+                appendLine("%16d %9d %8.1f %8.1f".format(it.depth, it.requests, it.p50Millis, it.p99Millis))
+            }
+            appendLine()
+            appendLine(
+                "slow readers: ${slowReaders.wholeResponses} of ${slowReaders.readers} received " +
+                    "${slowReaders.responseBytes} bytes, direct memory at most ${slowReaders.peakDirectBytes} bytes",
+            )
         }
 
     internal companion object {
--- a/bench/src/test/kotlin/dev/baobabhollow/bench/calls/CallsBenchSpec.kt
+++ b/bench/src/test/kotlin/dev/baobabhollow/bench/calls/CallsBenchSpec.kt
@@ -20,12 +20,18 @@
                         overloadSeconds = 1,
                         targets = 2,
                         slots = 1,
+                        pipelineRounds = 5,
+                        slowReaders = 3,
+                        longResponseBytes = 100_000,
+                        slowReadPauseMillis = 1,
                     )
                 val report = CallsBench(options).run()
                 report.latency.map { it.path } shouldBe listOf("straight", "one hop", "two hops")
                 report.latency.forEach { it.calls - it.failed shouldBeGreaterThan 20L }
                 report.overload.size shouldBe 4
                 report.overload.forEach { it.goodPerSecond shouldBeGreaterThan 5.0 }
+                report.pipelining.map { it.requests } shouldBe listOf(5L, 20L)
+                report.slowReaders.wholeResponses shouldBe 3
                 report.toTable() shouldContain "two hops"
                 report.toJson() shouldContain "addedP99Millis"
             }
