Let a paused lead raise no share before it can have heard of later stages

Cause: a lead that was paused for longer than the substitute waits decided on the stage that it knew, and raised the share of a release that had been taken back meanwhile, until the next datagram.

Change: after a pause of the lead delay or longer it waits that long before it raises a share; it still takes back at once. MovePolicy.provenTimedCalls, which had no effect, is gone.

--- a/moves/src/main/kotlin/dev/baobabhollow/moves/MovePolicy.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/MovePolicy.kt
@@ -9,8 +9,8 @@
  * [rampPermille] lists the shares of the new release before the full share; the first applies while it is unproven.
  * A release is proven after [provenCalls] calls in total and [provenRouteCalls] calls on each route; [minProvenCalls]
  * calls in total suffice once the proving time ([provingShare] of the time to the deadline) is over.
- * [provenTimedCalls] has no effect at present. Each further share needs [stepCalls] calls and [stepMillis]. [marginShare]
- * of the time to the deadline is a safety margin.
+ * Each further share needs [stepCalls] calls and [stepMillis]. [marginShare] of the time to the deadline is a safety
+ * margin.
  *
  * [windowMillis] is the length of the time windows in which the releases are compared, and [graceMillis] the wait for
  * late summaries. Latencies of a target count after its first [warmUpCalls] calls and [warmUpMillis]. Errors are a fault
@@ -24,7 +24,6 @@
     val rampPermille: List<Int> = listOf(UNPROVEN_PERMILLE, 50, 150, 400, 800),
     val provenCalls: Long = 300,
     val provenRouteCalls: Long = 20,
-    val provenTimedCalls: Long = 100,
     val minProvenCalls: Long = 30,
     val provingShare: Double = 0.75,
     val stepCalls: Long = 100,
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/MoveCoordinator.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/MoveCoordinator.kt
@@ -15,6 +15,7 @@
 import dev.baobabhollow.model.OutcomeSummary
 import dev.baobabhollow.moves.MoveDecision
 import dev.baobabhollow.moves.MoveJudge
+import org.apache.logging.log4j.LogManager
 
 /**
  * Decides on running moves where this node is the lead or its substitute. Holds each move that some node has decided to
@@ -51,6 +52,10 @@
     private val wantedStages = HashMap<MoveId, WantedStage>()
     private val localJudgementUntilMillis = HashMap<MoveId, Long>()
     private var nextDecisionMillis = 0L
+    private var lastTickMillis: Long? = null
+
+    /** Time until which this node raises no share, after a pause. */
+    private var raisesFromMillis = 0L
     private var nextAlertIndex = 0
 
     /** Moves whose new releases get no calls from this node. */
@@ -102,6 +107,7 @@
         nowMillis: Long,
     ) {
         dropFinished(state, nowMillis)
+        deferAfterPause(nowMillis)
         if (nowMillis < nextDecisionMillis) return
         nextDecisionMillis = nowMillis + settings.moveDecisionMillis
         state.moves.filterValues { !it.phase.isFinal }.forEach { (id, move) ->
@@ -111,6 +117,18 @@
         }
     }
 
+    /**
+     * After a pause in which a substitute may have become the lead, this node raises no share until it can have
+     * received the stages that were decided meanwhile. It may still take a release back.
+     */
+    private fun deferAfterPause(nowMillis: Long) {
+        val pausedMillis = nowMillis - (lastTickMillis ?: nowMillis)
+        lastTickMillis = nowMillis
+        if (pausedMillis < settings.leadDelayMillis) return
+        raisesFromMillis = nowMillis + settings.leadDelayMillis
+        LOG.info("event=move_stages_deferred paused_ms={} for_ms={}", pausedMillis, settings.leadDelayMillis)
+    }
+
     /** Stores the offset of an appended proposal, or drops a failed one so that its stage can be proposed again. */
     fun handleAppendResult(
         record: LogRecord,
@@ -173,7 +191,7 @@
         rank: Int,
         nowMillis: Long,
     ) {
-        if (rank < 0) return
+        if (rank < 0 || nowMillis < raisesFromMillis) return
         val stage =
             wantedStages[record.move]?.takeIf { it.stage == record.follows } ?: WantedStage(record.follows, nowMillis)
         wantedStages[record.move] = stage
@@ -238,6 +256,7 @@
     }
 
     companion object {
+        private val LOG = LogManager.getLogger(MoveCoordinator::class.java)
         private const val MAX_HELD_MOVES = 512
         private const val ALERTS_PER_DATAGRAM = 2
         private const val MAX_REASON_LENGTH = 60
