Hold the first request of a connection until its close would have been read

Cause: a connection can wait for long to be accepted, by 16 an iteration, without any lag of the event loop.

Change: the first request of each connection is opened one iteration later, and all waiting connections are accepted at once, up to 256.

--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamHandler.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamHandler.kt
@@ -48,6 +48,10 @@
     /** True if the end of a request without a body is the next message. */
     private var isEndToSkip = false
     private var isProcessing = false
+    private var isNew = true
+
+    /** True while the first request waits for a possible close of its connection. */
+    private var isHeld = false
 
     /** True while the rest of a request whose response has been sent is read, before the connection is closed. */
     private var isLingering = false
@@ -96,6 +100,7 @@
         isEndToSkip = call.hasNoBody
         // Counted from here on, so that draining waits for requests that are not opened yet too.
         node.exchangeStarted()
+        if (isNew) hold()
         if (waiting.isNotEmpty() || !mayOpen(call)) enqueue(call) else open(call)
         if (head is HttpContent && waiting.isNotEmpty()) {
             enqueue(head)
@@ -104,7 +109,22 @@
         }
     }
 
+    /**
+     * Holds the first request of a connection until the event loop has read all connections once more. The connection
+     * may have waited for long to be accepted, and the caller may have disconnected meanwhile; the close is read one
+     * iteration after the request.
+     */
+    private fun hold() {
+        isNew = false
+        isHeld = true
+        loop.afterNextIteration {
+            isHeld = false
+            processWaiting()
+        }
+    }
+
     private fun mayOpen(call: DownstreamCall): Boolean {
+        if (isHeld) return false
         val last = calls.lastOrNull() ?: return true
         return last.isRequestDone && calls.size < node.settings.maxPipelinedCalls && port.mayOverlap(call.head)
     }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
 import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.ServerChannelRecvByteBufAllocator
 import io.netty.channel.group.ChannelGroup
 import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.nio.NioIoHandler
@@ -121,6 +122,7 @@
             .channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS))
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
                 object : ChannelInitializer<Channel>() {
@@ -148,6 +150,9 @@
     private companion object {
         val LOG = LogManager.getLogger(ProxyServer::class.java)
         const val BACKLOG = 1_024
+
+        /** Connections accepted in one iteration of the event loop. Callers wait at most a second to be accepted. */
+        const val ACCEPTS = 256
         const val SWEEP_MILLIS = 1_000L
         const val CLOSE_MILLIS = 1_000L
 
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/DisconnectedCallerSpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/DisconnectedCallerSpec.kt
@@ -86,6 +86,27 @@
             }
         }
 
+        describe("a request on a connection that has waited for long to be accepted") {
+            // Guards against work for disconnected callers: the wait for an accept is no lag of the event loop.
+            it("is not sent to a target if its caller has disconnected") {
+                val runs = AtomicInteger()
+                val target = ScriptedTarget.responding(runs) { respond("ok") }
+                val clock = StallingClock()
+                val settings = SETTINGS.copy(loopLagThresholdMillis = 10_000)
+                TestMesh(listOf(target.port), settings = settings, nowMillis = clock).use { mesh ->
+                    repeat(ROUNDS) { round ->
+                        clock.stallDuring {
+                            Socket("127.0.0.1", mesh.port).use { it.getOutputStream().write(request(round)) }
+                        }
+                        Thread.sleep(STALL_MILLIS)
+                    }
+                    call(mesh.port, "/stock/last")?.status shouldBe 200
+                }
+                runs.get() shouldBe 1
+                target.close()
+            }
+        }
+
         describe("a failed call whose caller has disconnected before a lagging node reads the failure") {
             // Guards against a retry for a disconnected caller: the close of its connection is read after the failure.
             it("is not retried at another target") {
