Weigh the usual length of responses when a target is chosen

Change: each node keeps a moving average of the length of each route's responses and adds it to the body.

--- a/calls/src/main/kotlin/dev/baobabhollow/calls/TargetPicker.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/TargetPicker.kt
@@ -5,10 +5,11 @@
 
 /**
  * Properties of a call that determine its latency penalty for a target in another failure domain. The penalty grows
- * with the size of the request body and with [objectiveMillis], the call's latency objective, or zero if there is none.
+ * with [transferBytes], the length of the request body and the expected one of the response, and with
+ * [objectiveMillis], the call's latency objective, or zero if there is none.
  */
 data class CallProfile(
-    val bodyBytes: Long = 0,
+    val transferBytes: Long = 0,
     val objectiveMillis: Long = 0,
 )
 
@@ -113,7 +114,7 @@
         val objectiveShareMicros =
             profile.objectiveMillis * MICROS_PER_MILLI * settings.remotePenaltyObjectivePermille / PERMILLE
         return maxOf(settings.remotePenaltyMicros, objectiveShareMicros) +
-            profile.bodyBytes * settings.remotePenaltyMicrosPerKilobyte / KILOBYTE
+            profile.transferBytes * settings.remotePenaltyMicrosPerKilobyte / KILOBYTE
     }
 
     private fun isSilent(
--- a/calls/src/test/kotlin/dev/baobabhollow/calls/TargetPickerShortestWaitSpec.kt
+++ b/calls/src/test/kotlin/dev/baobabhollow/calls/TargetPickerShortestWaitSpec.kt
@@ -48,7 +48,7 @@
             it("is called in another domain with a long body only when that saves a long wait") {
                 val fixture = Fixture()
                 val afterSlowStart = 1_000 + settings.slowStartMillis
-                val upload = CallProfile(bodyBytes = 60_000)
+                val upload = CallProfile(transferBytes = 60_000)
                 remote.forEach { fixture.finish(it, 60_000) }
                 fixture.finish(local, 160_000)
                 fixture.shareOf(local, afterSlowStart, upload) shouldBeGreaterThan 950
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
@@ -10,7 +10,9 @@
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.LastHttpContent
 import java.util.concurrent.ThreadLocalRandom
 import kotlin.random.asKotlinRandom
 
@@ -42,7 +44,11 @@
 ) : RelayExchange(node, downstream, deadlines.lastMillis) {
     private val replay = PendingBody()
     private val mayRetry = fixedTarget == null && !head.headers().contains(MeshHeaders.RETRY)
-    private val profile = CallProfile(bodyBytesOf(head), route.config.targetLatencyMillis ?: 0)
+    private val profile =
+        CallProfile(
+            bodyBytesOf(head) + node.responseSizes.expectedBytes(route.id),
+            route.config.targetLatencyMillis ?: 0,
+        )
     private val startMicros = node.nowMicros()
     private var attemptMicros = startMicros
     private var isReplayOverflowed = false
@@ -56,6 +62,7 @@
     private var tried: MutableSet<NodeId> = mutableSetOf()
     private var target: TargetEndpoint? = null
     private var responseStatus = HttpResponseStatus.OK
+    private var responseBytes = 0L
     private var loadPermille: Int? = null
 
     override val leg = "entry"
@@ -166,6 +173,13 @@
         super.onResponseHead(head)
     }
 
+    override fun onResponseBody(content: HttpContent) {
+        responseBytes += content.content().readableBytes()
+        val isComplete = content is LastHttpContent && responseStatus.codeClass() == HttpStatusClass.SUCCESS
+        if (isComplete) node.responseSizes.record(route.id, responseBytes)
+        super.onResponseBody(content)
+    }
+
     private fun onGeneratedError(
         head: HttpResponse,
         outcome: String,
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
@@ -3,6 +3,7 @@
 import dev.baobabhollow.calls.Admission
 import dev.baobabhollow.calls.CallAgeEstimator
 import dev.baobabhollow.calls.OutlierDetector
+import dev.baobabhollow.calls.ResponseSizeEstimator
 import dev.baobabhollow.calls.RetryBudgets
 import dev.baobabhollow.calls.Route
 import dev.baobabhollow.calls.RoutingTable
@@ -45,6 +46,7 @@
     val outliers = OutlierDetector(settings.outliers)
     val budgets = RetryBudgets(settings.retries)
     val callAgeEstimator = CallAgeEstimator()
+    val responseSizes = ResponseSizeEstimator()
     val picker =
         TargetPicker(settings.picker, self.node, outliers) {
             if (targetEndpoint ==
@@ -100,6 +102,7 @@
         budgets.retain(table.services.keys)
         budgets.nodes = table.nodes.size
         callAgeEstimator.retain(table.routeIds)
+        responseSizes.retain(table.routeIds)
     }
 
     fun close() {
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/CallProtocolSpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/CallProtocolSpec.kt
@@ -111,7 +111,7 @@
                 thread(isDaemon = true) {
                     Thread.sleep(300)
                     while (true) {
-                        val connection = RawConnection(server.accept())
+                        val connection = RawConnection(runCatching { server.accept() }.getOrNull() ?: break)
                         thread(isDaemon = true) {
                             val request = connection.read() ?: return@thread
                             left.send(request.headers.getValue("left").toLong())
