--- a/peers/src/test/kotlin/dev/baobabhollow/peers/OrderedMovesSpec.kt
+++ b/peers/src/test/kotlin/dev/baobabhollow/peers/OrderedMovesSpec.kt
@@ -34,6 +34,8 @@
     DescribeSpec({
         val state = ConfigurationState(orders = mapOf(SERVICE to MoveOrder(MOVE, RELEASE, 100)))
 
+        fun OrderedMoves.plan() = mergeInto(state).moves.getValue(MOVE).plan
+
         describe("an ordered move") {
             it("starts with a share of zero when its order is read") {
                 val moves = OrderedMoves { 5 }
@@ -67,12 +69,7 @@
                     val start = 1_000_000L + difference
                     val sent = stage(1, MovePhase.RAMPING).copy(startedAtMillis = start, completeByMillis = start + 100)
                     moves.merge(sent, now + difference) shouldBe true
-                    val plan =
-                        moves
-                            .mergeInto(state)
-                            .moves
-                            .getValue(MOVE)
-                            .plan
+                    val plan = moves.plan()
                     plan.startAtMillis shouldBe 1_000_000
                     plan.completeByMillis shouldBe 1_000_100
                 }
@@ -85,23 +82,14 @@
                 val sent = stage(1, MovePhase.RAMPING).copy(startedAtMillis = 499_970, completeByMillis = 500_070)
                 now += 10
                 moves.merge(sent, 500_010) shouldBe true
-                moves
-                    .mergeInto(state)
-                    .moves
-                    .getValue(MOVE)
-                    .plan.completeByMillis shouldBe 1_000_070
+                moves.plan().completeByMillis shouldBe 1_000_070
             }
 
             // Guards against a move that seems not to have started after a restart with a clock that was set back.
             it("has started in the past when it is read from the log") {
                 val moves = OrderedMoves { 1_000_000 }
                 moves.merge(stage(1, MovePhase.RAMPING).copy(startedAtMillis = 1_005_000, completeByMillis = 1_005_100))
-                val plan =
-                    moves
-                        .mergeInto(state)
-                        .moves
-                        .getValue(MOVE)
-                        .plan
+                val plan = moves.plan()
                 plan.startAtMillis shouldBe 1_000_000
                 plan.completeByMillis shouldBe 1_000_100
             }
