--- a/calls/src/test/kotlin/dev/baobabhollow/calls/AdmissionSpec.kt
+++ b/calls/src/test/kotlin/dev/baobabhollow/calls/AdmissionSpec.kt
@@ -190,6 +190,8 @@
         describe("admission with several threads") {
             it("is linearizable in all interleavings checked") {
                 ModelCheckingOptions()
+                    // Minimizing takes minutes on a busy machine, and a hung scenario longer.
+                    .minimizeFailedScenario(false)
                     .iterations(5)
                     .invocationsPerIteration(200)
                     .threads(2)
@@ -199,6 +201,8 @@
 
             it("is linearizable under stress") {
                 StressOptions()
+                    // Minimizing takes minutes on a busy machine, and a hung scenario longer.
+                    .minimizeFailedScenario(false)
                     .iterations(8)
                     .invocationsPerIteration(300)
                     .threads(3)
--- a/calls/src/test/kotlin/dev/baobabhollow/calls/KeyOutcomesSpec.kt
+++ b/calls/src/test/kotlin/dev/baobabhollow/calls/KeyOutcomesSpec.kt
@@ -82,6 +82,8 @@
             // Guards against two calls that start with the same key at the same time.
             it("are linearizable") {
                 ModelCheckingOptions()
+                    // Minimizing takes minutes on a busy machine, and a hung scenario longer.
+                    .minimizeFailedScenario(false)
                     .iterations(8)
                     .invocationsPerIteration(200)
                     .threads(2)
