Tell at once that a node leaves whose target is draining

Change: a record is urgent if what calls may do with the target changes, among serving, withdrawn and leaving; the own node's withdrawals always are. A suspicion and its refutation are not.

--- a/membership/src/main/kotlin/dev/baobabhollow/membership/MembershipState.kt
+++ b/membership/src/main/kotlin/dev/baobabhollow/membership/MembershipState.kt
@@ -79,7 +79,8 @@
         val after = change(before).copy(node = selfId, failureDomain = domain, incarnation = before.incarnation + 1)
         table.put(after)
         updates.add(after)
-        if (isUrgent(after, before)) urgent.add(after, UrgentUpdates.RELIABLE_ROUNDS)
+        // A node can leave while its target is draining already, and that must not wait for the next probes either.
+        if (isWithdrawn(after) || isUrgent(after, before)) urgent.add(after, UrgentUpdates.RELIABLE_ROUNDS)
     }
 
     /** Merges [record] of any node. If it is new, it is also spread further, unless [shouldSpread] is false. */
@@ -129,27 +130,31 @@
     }
 
     /**
-     * True if [record] changes whether the node's target can be used. Targets that appear are urgent too: after a mass
-     * restart, all calls go to the few targets that are known.
+     * True if [record] changes whether calls may go to the node's target. Targets that appear are urgent too: after a
+     * mass restart, all calls go to the few targets that are known.
      */
     private fun isUrgent(
         record: NodeRecord,
         before: NodeRecord?,
-    ): Boolean =
-        if (isWithdrawn(record)) {
-            before == null || !isWithdrawn(before)
-        } else {
-            isServing(record) &&
-                !isServing(before)
-        }
+    ): Boolean {
+        val availability = availabilityOf(record)
+        return availability != Availability.NONE && availability != before?.let(::availabilityOf)
+    }
 
     private fun relayRounds(record: NodeRecord) =
         if (isWithdrawn(record)) UrgentUpdates.RELIABLE_ROUNDS else UrgentUpdates.RELAYED_ROUNDS
-
-    private fun isServing(record: NodeRecord?) =
-        record?.status == NodeStatus.ALIVE && record.target?.status == TargetStatus.SERVING
 }
 
+private enum class Availability { NONE, SERVING, WITHDRAWN, LEAVING }
+
+private fun availabilityOf(record: NodeRecord): Availability =
+    when {
+        record.status == NodeStatus.LEAVING -> Availability.LEAVING
+        isWithdrawn(record) -> Availability.WITHDRAWN
+        record.status != NodeStatus.DEAD && record.target != null -> Availability.SERVING
+        else -> Availability.NONE
+    }
+
 /** True if calls must not go to the target of [record]'s node although the node runs. */
 internal fun isWithdrawn(record: NodeRecord): Boolean {
     val target = record.target
--- a/membership/src/test/kotlin/dev/baobabhollow/membership/MembershipSpec.kt
+++ b/membership/src/test/kotlin/dev/baobabhollow/membership/MembershipSpec.kt
@@ -3,6 +3,7 @@
 import dev.baobabhollow.model.FailureDomainId
 import dev.baobabhollow.model.NodeId
 import dev.baobabhollow.model.NodeStatus
+import dev.baobabhollow.model.TargetStatus
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContainOnly
 import io.kotest.matchers.longs.shouldBeGreaterThan
@@ -30,6 +31,17 @@
                 }
             }
 
+            // Guards against a departure that waits for probes because the node's target was draining before.
+            it("knows within 1 s that a node leaves whose target is draining") {
+                val fleet = largeDomain(1)
+                val draining = TargetStatus.DRAINING
+                fleet["a-7"].membership.announce { it.copy(target = it.target?.copy(status = draining)) }
+                fleet.runUntil(3_000)
+                fleet["a-7"].membership.announce { it.copy(status = NodeStatus.LEAVING) }
+                val isTold = { fleet.statusesOf("a-7").count { it == NodeStatus.LEAVING } > 120 }
+                fleet.runUntil(3_000, isTold) shouldBeLessThan 1_000
+            }
+
             // Guards against failure detection that takes longer than ejection can cover. Expected are a period until
             // some node probes the failed one, a period for the probe, the suspicion timeout of 4 * log10(150) = 8.7 s,
             // and the time to spread.
