--- a/review/standins/LateHeartbeat.java
+++ b/review/standins/LateHeartbeat.java
@@ -4,8 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * An upstream announces that it leaves, its node acknowledges that and is killed and started again. A heartbeat that the
@@ -18,6 +18,10 @@
 
     /** Time for which the upstream serves after the acknowledgement: drain-s and some seconds more. */
     private static final long SERVES_MILLIS = 5_500;
+    private static final long JUDGED_MILLIS = 1_500;
+
+    /** Delay of the heartbeat, longer only if the node has not started by then. */
+    private static final long LATE_MILLIS = 2_500;
     private static final String CONFIG = """
         {"version":3,"routes":{"r-lock":{"host":"jepu9.example","path-prefix":"/lock/","route-type":"non_idempotent",
         "timeout-s":1.5,"target-latency-s":0.8,"priority":1,"service":"lots","attempts":2}},"services":{"lots":
@@ -25,7 +29,7 @@
         {"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout-s":3,"idle-timeout-s":15}}""";
 
     private final Deployment deployment;
-    private final AtomicInteger lost = new AtomicInteger();
+    private final Set<String> lost = ConcurrentHashMap.newKeySet();
     private volatile boolean isDone;
 
     private LateHeartbeat(Deployment deployment) {
@@ -43,7 +47,7 @@
         deployment.add("side-d-1", "cr-central-d", "lots");
         deployment.start(CONFIG, Map.of("lots", List.of("quiet=1", "slots=6", "work-ms=290", "beat-ms=870")));
         List<Thread> clients = new ArrayList<>();
-        for (int i = 0; i < 12; i++) clients.add(client(deployment.machines.get(1 + i % 3), "lock-" + i));
+        for (int i = 0; i < 24; i++) clients.add(client(deployment.machines.get(1 + i % 3), "lock-" + i));
         Thread.sleep(2_000);
         deployment.command(leaving, "hold");
         deployment.command(leaving, "leave");
@@ -58,21 +62,23 @@
             deployment.startNode(leaving);
             startedAt = millis();
         }
-        sleepUntil(acknowledgedAt + 2_500);
+        sleepUntil(acknowledgedAt + LATE_MILLIS);
+        deployment.await("node " + leaving.name + " started", () -> deployment.isReady(leaving), 10);
         deployment.command(leaving, "release");
         sleepUntil(startedAt + STABLE_WINDOW_MILLIS);
         deployment.log("node " + leaving.name + " is in touch");
         long judgedFrom = Math.max(startedAt + STABLE_WINDOW_MILLIS, acknowledgedAt + DRAIN_MILLIS);
         Map<String, Long> before = runs(leaving);
-        sleepUntil(acknowledgedAt + SERVES_MILLIS);
+        sleepUntil(Math.max(acknowledgedAt + SERVES_MILLIS, judgedFrom + JUDGED_MILLIS));
         Map<String, Long> late = runs(leaving);
         late.keySet().removeAll(before.keySet());
         deployment.command(leaving, "exit");
         Thread.sleep(2_000);
         isDone = true;
         for (Thread client : clients) client.join(5_000);
+        long lateAndLost = late.keySet().stream().filter(lost::contains).count();
         deployment.log("requests that reached the upstream from " + (judgedFrom - acknowledgedAt)
-            + " ms after the acknowledgement on: " + late.size() + ", requests without the upstream's answer: " + lost);
+            + " ms after the acknowledgement on: " + late.size() + ", of these without the upstream's answer: " + lateAndLost);
         return !late.isEmpty();
     }
 
@@ -127,7 +133,7 @@
         } catch (IOException e) {
             end = "failed: " + e;
         }
-        if (!end.startsWith("HTTP/1.1 200")) lost.incrementAndGet();
+        if (!end.startsWith("HTTP/1.1 200")) lost.add(id);
         deployment.log("client of " + machine.name + " " + id + ": " + end);
     }
 }
