--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -144,16 +144,6 @@
         process.waitFor();
     }
 
-    void terminate(String what, Process process) {
-        log("SIGTERM " + what + " pid=" + process.pid());
-        process.destroy();
-    }
-
-    void signal(String signal, Process process) throws Exception {
-        log("SIG" + signal + " pid=" + process.pid());
-        new ProcessBuilder("kill", "-" + signal, String.valueOf(process.pid())).start().waitFor();
-    }
-
     /** The run command of the deploy file. */
     private String runCommand() throws IOException {
         for (String line : Files.readAllLines(root.resolve("deploy/system.toml"))) {
@@ -212,7 +202,8 @@
         try (Socket socket = new Socket()) {
             socket.connect(new InetSocketAddress("127.0.0.1", machine.ready), 500);
             socket.setSoTimeout(1_000);
-            socket.getOutputStream().write("GET /v1/ready HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n".getBytes());
+            String request = "GET /v1/ready HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n";
+            socket.getOutputStream().write(request.getBytes());
             Http.Head head = Http.readHead(new BufferedInputStream(socket.getInputStream()));
             return head != null && head.status() == 200;
         } catch (IOException e) {
@@ -241,7 +232,8 @@
     private Process launch(String name, ConcurrentLinkedQueue<String> lines, List<String> command) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(command).directory(root.toFile()).redirectErrorStream(true);
         if (lines == null) {
-            builder.redirectOutput(ProcessBuilder.Redirect.appendTo(temp.resolve(name.replace(' ', '-') + ".log").toFile()));
+            File log = temp.resolve(name.replace(' ', '-') + ".log").toFile();
+            builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log));
         }
         Process process = builder.start();
         processes.add(process);
--- a/review/standins/LateHeartbeat.java
+++ b/review/standins/LateHeartbeat.java
@@ -8,8 +8,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * An upstream announces that it leaves, its node acknowledges that and is killed and started again. A heartbeat that the
- * upstream sent before it left arrives late. No request may reach the upstream later than drain-s after the
+ * An upstream announces that it leaves, its node acknowledges that and is killed and started again. A heartbeat that
+ * the upstream sent before it left arrives late. No request may reach the upstream later than drain-s after the
  * acknowledgement.
  */
 public final class LateHeartbeat {
@@ -78,7 +78,8 @@
         for (Thread client : clients) client.join(5_000);
         long lateAndLost = late.keySet().stream().filter(lost::contains).count();
         deployment.log("requests that reached the upstream from " + (judgedFrom - acknowledgedAt)
-            + " ms after the acknowledgement on: " + late.size() + ", of these without the upstream's answer: " + lateAndLost);
+            + " ms after the acknowledgement on: " + late.size()
+            + ", of these without the upstream's answer: " + lateAndLost);
         return !late.isEmpty();
     }
 
--- a/review/standins/SmallChunks.java
+++ b/review/standins/SmallChunks.java
@@ -12,9 +12,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Clients upload manifests in chunks of a few bytes, beside clients that lock lots on kept connections. A node that ends
- * is started again after a short delay, as the platform does. Nodes must not end by themselves. With TROUBLE=0 the same
- * bodies are sent with a length.
+ * Clients upload manifests in chunks of a few bytes, beside clients that lock lots on kept connections. A node that
+ * ends is started again after a short delay, as the platform does. Nodes must not end by themselves. With TROUBLE=0 the
+ * same bodies are sent with a length.
  */
 public final class SmallChunks {
     private static final int UPLOADING_CLIENTS = 30;
@@ -56,7 +56,9 @@
     }
 
     private boolean isBroken() throws Exception {
-        for (String zone : List.of("a", "b", "c", "d")) deployment.add("side-" + zone + "-1", "cr-central-" + zone, "intake");
+        for (String zone : List.of("a", "b", "c", "d")) {
+            deployment.add("side-" + zone + "-1", "cr-central-" + zone, "intake");
+        }
         deployment.start(CONFIG, Map.of("intake", List.of("quiet=1", "slots=6", "work-ms=260")));
         List<Thread> threads = new ArrayList<>();
         for (int i = 0; i < LOCKING_CLIENTS; i++) {
@@ -74,7 +76,8 @@
         for (Thread thread : threads) thread.join(10_000);
         for (Deployment.Machine machine : deployment.machines) deployment.showNodeLog(machine, "OutOfMemoryError", 1);
         long lost = closedWithoutAnswer.stream().filter(this::wasPassedOn).count();
-        deployment.log("uploads answered 200=" + uploads + " locks answered 200=" + locks + " other answers=" + refused);
+        deployment.log("uploads answered 200=" + uploads + " locks answered 200=" + locks
+            + " other answers=" + refused);
         deployment.log("requests from kept connections that were passed on and not answered: " + lost);
         deployment.log("ends of nodes by themselves: " + ends);
         return isRuleBroken();
@@ -123,7 +126,8 @@
                     }
                 } catch (IOException e) {
                     deployment.log("client " + id + ", request " + onConnection + " of its connection: " + e);
-                    if (onConnection > 1 && !(e instanceof java.net.SocketTimeoutException)) closedWithoutAnswer.add(id);
+                    boolean isTimeout = e instanceof java.net.SocketTimeoutException;
+                    if (onConnection > 1 && !isTimeout) closedWithoutAnswer.add(id);
                     pause(500);
                 }
             }
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -133,7 +133,8 @@
         if (text == null) return result;
         for (String part : text.split("&")) {
             int equals = part.indexOf('=');
-            result.put(part.substring(0, equals), URLDecoder.decode(part.substring(equals + 1), StandardCharsets.UTF_8));
+            String value = URLDecoder.decode(part.substring(equals + 1), StandardCharsets.UTF_8);
+            result.put(part.substring(0, equals), value);
         }
         return result;
     }
--- a/review/standins/UploadBurst.java
+++ b/review/standins/UploadBurst.java
@@ -58,7 +58,8 @@
         long burstAt = millis();
         if (deployment.hasTrouble) {
             deployment.log("burst begins");
-            for (int i = CLIENTS; i < BURST_CLIENTS; i++) threads.add(client(node, "burst-" + i, burstAt + BURST_MILLIS));
+            long until = burstAt + BURST_MILLIS;
+            for (int i = CLIENTS; i < BURST_CLIENTS; i++) threads.add(client(node, "burst-" + i, until));
         }
         Thread.sleep(BURST_MILLIS);
         deployment.log("burst is over");
@@ -75,7 +76,7 @@
         return isRuleBroken(burstAt, judgedUntil);
     }
 
-    /** More than half of the requests unanswered at the timeout of their route, eight at least, lack one 0.5 s later. */
+    /** More than half of the requests unanswered at their route's timeout, eight at least, lack one 0.5 s later. */
     private boolean isRuleBroken(long from, long until) {
         long atTimeout = sent.stream().filter(it -> isIn(it, from, until) && isUnanswered(it, 0)).count();
         long later = sent.stream().filter(it -> isIn(it, from, until) && isUnanswered(it, 500)).count();
@@ -89,13 +90,15 @@
         long later = sent.stream().filter(it -> isIn(it, from, until) && isUnanswered(it, 500)).count();
         long ran =
             sent.stream().filter(it -> isIn(it, from, until) && it.endMillis() == null && hasRun(it.id())).count();
-        return "requests=" + all + " answered 200=" + good + " unanswered at timeout-s=" + atTimeout + " and 0.5 s later="
-            + later + " run but never answered=" + ran;
+        return "requests=" + all + " answered 200=" + good + " unanswered at timeout-s=" + atTimeout
+            + " and 0.5 s later=" + later + " run but never answered=" + ran;
     }
 
     private boolean hasRun(String id) {
         String start = "run " + id + " ";
-        return deployment.machines.stream().flatMap(it -> it.upstreamLines.stream()).anyMatch(it -> it.startsWith(start));
+        return deployment.machines.stream()
+            .flatMap(it -> it.upstreamLines.stream())
+            .anyMatch(it -> it.startsWith(start));
     }
 
     private static boolean isIn(Sent request, long from, long until) {
--- a/review/standins/Upstream.java
+++ b/review/standins/Upstream.java
@@ -15,8 +15,8 @@
 
 /**
  * Stand-in for an upstream. Arguments are KEY=VALUE: port, id, service, control (port of its node), slots, beat-ms,
- * work-ms. It writes a line for each request that it runs. Commands on standard input: "beat ready|draining",
- * "leave", "exit", "silent", "resume" (heartbeats), "hold" (keeps back one heartbeat that is due now) and "release" (sends it).
+ * work-ms. It writes a line for each request that it runs. Commands on standard input: "hold" (keeps back one heartbeat
+ * that is due now), "release" (sends it), "leave" and "exit".
  */
 public final class Upstream {
     private final Map<String, String> options;
@@ -27,7 +27,6 @@
     private final AtomicInteger sequence = new AtomicInteger();
     private final AtomicInteger running = new AtomicInteger();
     private final Semaphore slots;
-    private volatile String state = "ready";
     private volatile boolean isBeating = true;
     private volatile boolean hasLeft;
     private String held;
@@ -82,7 +81,7 @@
     private String beatBody() {
         return "{\"address\":\"127.0.0.1:" + port + "\",\"born\":" + born + ",\"info\":{\"service\":\""
             + options.get("service") + "\",\"version\":\"v1\",\"zone\":\"z\",\"slots\":"
-            + options.getOrDefault("slots", "6") + "},\"status\":{\"state\":\"" + state + "\",\"sequence\":"
+            + options.getOrDefault("slots", "6") + "},\"status\":{\"state\":\"ready\",\"sequence\":"
             + sequence.incrementAndGet() + ",\"warmup-left-s\":0}}";
     }
 
@@ -91,17 +90,11 @@
             String line;
             while ((line = in.readLine()) != null) {
                 switch (line) {
-                    case "beat ready", "beat draining" -> {
-                        state = line.substring(5);
-                        post("instances.heartbeat", beatBody());
-                    }
                     case "leave" -> {
                         isBeating = false;
                         hasLeft = true;
                         post("instances.leave", "{\"born\":" + born + "}");
                     }
-                    case "silent" -> isBeating = false;
-                    case "resume" -> isBeating = true;
                     case "hold" -> held = beatBody();
                     case "release" -> post("instances.heartbeat", held);
                     case "exit" -> {
@@ -127,7 +120,7 @@
             socket.getOutputStream().write(bytes);
             Http.Head head = Http.readHead(new BufferedInputStream(socket.getInputStream()));
             if (!call.endsWith("heartbeat") || !options.containsKey("quiet")) {
-                log("announced " + call + " " + state + " " + (head == null ? "no answer" : head.status()) + " " + body);
+                log("announced " + call + " " + (head == null ? "no answer" : head.status()) + " " + body);
             }
         } catch (IOException e) {
             log("announcing failed " + call + " " + e);
@@ -160,9 +153,10 @@
     }
 
     private void health(OutputStream out) throws IOException {
-        boolean isReady = state.equals("ready") && !hasLeft;
-        out.write(("HTTP/1.1 " + (isReady ? "200 OK" : "503 Service Unavailable") + "\r\nBaobabhollow-Upstream-Instance: "
-            + id + "\r\nBaobabhollow-Upstream-Load: " + running.get() + ",0," + options.getOrDefault("slots", "6")
+        boolean isReady = !hasLeft;
+        out.write(("HTTP/1.1 " + (isReady ? "200 OK" : "503 Service Unavailable")
+            + "\r\nBaobabhollow-Upstream-Instance: " + id
+            + "\r\nBaobabhollow-Upstream-Load: " + running.get() + ",0," + options.getOrDefault("slots", "6")
             + "\r\nContent-Length: 0\r\n\r\n").getBytes());
     }
 
@@ -176,8 +170,8 @@
         }
         slots.acquireUninterruptibly();
         running.incrementAndGet();
-        log("run " + idOf(head) + " " + head.line() + " caller=" + head.header("baobabhollow-caller-service") + " bytes="
-            + body.bytes().length);
+        log("run " + idOf(head) + " " + head.line() + " caller=" + head.header("baobabhollow-caller-service")
+            + " bytes=" + body.bytes().length);
         try {
             sleep(Long.parseLong(options.getOrDefault("work-ms", "20")));
         } finally {
