Keep memory for bodies in proportion to their bytes

Cause: the decoder emits one object with its buffers for each chunk. The queues of bodies, the connections and the encoder handled each of them by itself, and all limits counted the bytes of the bodies only: a chunk of 8 bytes takes some hundred bytes of heap. A part that was held also kept the whole read buffer that it was a slice of. Requests and responses both passed through this.

Change: one handler behind each decoder merges the parts that one read yields, on connections of callers and of targets. PendingBody, which holds bodies for a retry, a slot or a connection, copies small parts into segments. A read stops as soon as a call accepts no more. Common requests and responses are not copied, since their single part is passed on as it is.

--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ConnectionPool.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ConnectionPool.kt
@@ -110,7 +110,13 @@
     private fun prepare(channel: Channel) {
         val decoder = StrictResponseDecoder(settings)
         val connection = UpstreamConnection(channel, decoder, settings.maxStrayResponseBytes, ::release)
-        channel.pipeline().addLast(connection.strayByteGuard, HttpRequestEncoder(), decoder, connection)
+        channel.pipeline().addLast(
+            connection.strayByteGuard,
+            HttpRequestEncoder(),
+            decoder,
+            BodyCoalescer(),
+            connection,
+        )
     }
 
     /** Returns a connection without an exchange to the pool. */
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamHandler.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamHandler.kt
@@ -145,7 +145,13 @@
 
     private fun receiveBody(content: HttpContent) {
         val call = calls.lastOrNull()?.takeIf { !it.isRequestDone }
-        if (call == null) content.release() else call.onRequestBody(content)
+        if (call == null) {
+            content.release()
+            return
+        }
+        call.onRequestBody(content)
+        // Stops a read that has yielded enough already; a read may yield many buffers.
+        if (!call.acceptsBody) updateReading()
     }
 
     override fun channelReadComplete(ctx: ChannelHandlerContext) {
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/PendingBody.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/PendingBody.kt
@@ -1,11 +1,23 @@
 package dev.baobabhollow.proxy
 
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.ByteBufAllocator
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.LastHttpContent
 
-/** Queue of request body parts that cannot be sent yet. Owns their buffers. */
+/**
+ * Queue of body parts that cannot be sent yet. Small parts are copied into segments, so that the memory in use is
+ * proportional to the bytes of the body, however short its chunks are and however much a read buffer holds besides.
+ */
 internal class PendingBody {
-    private val parts = ArrayDeque<HttpContent>(2)
+    private val segments = ArrayDeque<ByteBuf>(2)
+    private var trailers: HttpHeaders? = null
+
+    /** True if the last segment has room and only this queue refers to it. */
+    private var isLastOpen = false
 
     /** Number of queued bytes. */
     var bytes = 0
@@ -15,29 +27,88 @@
     var isWhole = false
         private set
 
-    val isEmpty: Boolean get() = parts.isEmpty()
+    val isEmpty: Boolean get() = segments.isEmpty() && !isWhole
 
+    /** Queues [content] and takes ownership of its buffer. */
     fun add(content: HttpContent) {
         bytes += content.content().readableBytes()
-        isWhole = content is LastHttpContent
-        parts.addLast(content)
+        if (content is LastHttpContent) {
+            isWhole = true
+            trailers = content.trailingHeaders().takeUnless { it.isEmpty }
+        }
+        append(content.content())
+        content.release()
+    }
+
+    private fun append(part: ByteBuf) {
+        if (part.readableBytes() >= SEGMENT_BYTES / 2 && isCompact(part)) {
+            segments.addLast(part.retain())
+            isLastOpen = false
+            return
+        }
+        while (part.isReadable) {
+            val segment = openSegment(part.readableBytes())
+            segment.writeBytes(part, minOf(part.readableBytes(), segment.maxWritableBytes()))
+        }
+    }
+
+    private fun openSegment(bytes: Int): ByteBuf {
+        segments.lastOrNull()?.takeIf { isLastOpen && it.maxWritableBytes() > 0 }?.let { return it }
+        isLastOpen = true
+        val segment = ByteBufAllocator.DEFAULT.directBuffer(minOf(bytes, SEGMENT_BYTES), SEGMENT_BYTES)
+        segments.addLast(segment)
+        return segment
     }
 
+    /** True if [part] keeps no more than twice its bytes in memory, as a slice of a read buffer may. */
+    private fun isCompact(part: ByteBuf) =
+        generateSequence(part) { it.unwrap() }.last().capacity() <= part.readableBytes() * 2
+
     /** Passes all parts to [send], which takes ownership of their buffers. */
     fun drain(send: (HttpContent) -> Unit) {
-        while (parts.isNotEmpty()) {
-            val part = parts.removeFirst()
-            bytes -= part.content().readableBytes()
-            send(part)
+        while (!isEmpty) {
+            val segment = segments.removeFirstOrNull()
+            bytes -= segment?.readableBytes() ?: 0
+            send(nextPart(segment))
         }
     }
 
-    /** Passes duplicates of all parts to [send] and keeps the parts. */
-    fun replay(send: (HttpContent) -> Unit) = parts.forEach { send(it.retainedDuplicate()) }
+    private fun nextPart(segment: ByteBuf?): HttpContent {
+        if (!isWhole || segments.isNotEmpty()) return DefaultHttpContent(checkNotNull(segment))
+        isWhole = false
+        return lastPart(segment)
+    }
+
+    private fun lastPart(segment: ByteBuf?): HttpContent {
+        val headers = trailers
+        if (segment == null && headers == null) return LastHttpContent.EMPTY_LAST_CONTENT
+        val last = if (segment == null) DefaultLastHttpContent() else DefaultLastHttpContent(segment)
+        headers?.let { last.trailingHeaders().set(it) }
+        return last
+    }
+
+    /** Passes duplicates of all parts to [send], which takes ownership of their buffers, and keeps the parts. */
+    fun replay(send: (HttpContent) -> Unit) {
+        isLastOpen = false
+        val copies = segments.map { it.retainedDuplicate() }
+        val parts =
+            when {
+                !isWhole -> copies.map(::DefaultHttpContent)
+                else -> copies.dropLast(1).map(::DefaultHttpContent) + lastPart(copies.lastOrNull())
+            }
+        parts.forEach(send)
+    }
 
     fun clear() {
-        parts.forEach { it.release() }
-        parts.clear()
+        segments.forEach { it.release() }
+        segments.clear()
+        trailers = null
+        isWhole = false
         bytes = 0
     }
+
+    private companion object {
+        /** Bounds the unused rest of a segment, and is large enough that its objects do not count. */
+        const val SEGMENT_BYTES = 16_384
+    }
 }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
@@ -142,6 +142,7 @@
         channel.pipeline().addLast(
             idle,
             StrictRequestDecoder(node.settings),
+            BodyCoalescer(),
             encoder,
             DownstreamHandler(node, encoder, port),
         )
