Confirm the first heartbeat after a restart before a target is used

Cause: what a node acknowledged lives in the memory of its process, and a process that has just started took any heartbeat for news. The target's health path said 503 all the while, but was only asked for an identity before the first heartbeat. A drain that was acknowledged could be undone in the same way.

Change: until one heartbeat of a serving target is confirmed, the node only remembers it. It is confirmed by the health path, which must name the same instance, or by heartbeats that have continued for the time that counts as silence, for targets whose health path fails while they serve. Each such heartbeat starts a probe, and is logged as announcement_unconfirmed. Draining targets are taken over at once, since they get no calls. Other nodes need not be asked, so this also holds while the store or the links are in trouble.

AnnouncedTargetSpec: the specs that took the first heartbeat for certain stated the fault; they now ask for the confirmation, and the others start from a target whose health path has answered.

--- a/node/src/main/kotlin/dev/baobabhollow/node/AnnouncedTarget.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/AnnouncedTarget.kt
@@ -50,11 +50,18 @@
 
     /** The message was stale, or came from a target that has left or does not run on this VM. */
     IGNORED,
+
+    /** The heartbeat may be late and needs the target's confirmation, since the node has just started. */
+    UNCONFIRMED,
 }
 
 /**
  * Tracks the target on the node's VM by its announcements. A later start supersedes an earlier one, also under the same
- * name, and a heartbeat that the network delayed never reverts a later state. Not thread-safe.
+ * name, and a heartbeat that the network delayed never reverts a later state.
+ *
+ * A node that has just started does not know which leave or drain its previous process acknowledged, so a heartbeat may
+ * be late and older than that. A target that serves is therefore announced only once its health path confirms it, or
+ * its heartbeats have continued for longer than the network delays one. Not thread-safe.
  */
 class AnnouncedTarget(
     private val endpoint: Endpoint,
@@ -67,6 +74,13 @@
     private var isDown = false
     private var latestBornMillis = Long.MIN_VALUE
 
+    /** Latest heartbeat of a serving target that is not confirmed yet, and the time of the first one of its start. */
+    private var candidate: TargetHeartbeat? = null
+    private var candidateSinceMillis = 0L
+
+    /** True once a heartbeat of a serving target was confirmed; the node knows all leaves and drains from then on. */
+    private var isConfirmed = false
+
     /**
      * Latest start of each target that has left. If the start is unknown, the time of the leave message is used.
      */
@@ -84,8 +98,10 @@
             }
         }
 
-    /** True once the target has sent a heartbeat or a leave message. Until then the node has to probe it. */
-    val hasAnnounced: Boolean get() = last != null || departedBornMillis.isNotEmpty()
+    /** True while the identity or the state of the target has to be probed. */
+    val needsProbe: Boolean get() = !isConfirmed && (candidate != null || !hasAnnounced)
+
+    private val hasAnnounced: Boolean get() = last != null || departedBornMillis.isNotEmpty()
 
     private fun recordOf(
         service: ServiceId,
@@ -104,12 +120,14 @@
             is TargetLeave -> onLeave(message, nowMillis)
         }
 
-    /** Processes a probe's result. It is ignored once the target has announced itself. */
+    /** Processes a probe's result. It confirms a heartbeat, and is ignored once the target has announced itself. */
     fun onProbeResponse(
         target: DiscoveredTarget,
         nowMillis: Long,
     ): AnnouncementResult {
-        if (hasAnnounced) return AnnouncementResult.IGNORED
+        val next = candidate
+        if (!isConfirmed && next?.instance == target.instance) return confirm(next, nowMillis)
+        if (isConfirmed || hasAnnounced) return AnnouncementResult.IGNORED
         discovered = target
         lastHeardMillis = nowMillis
         return AnnouncementResult.CHANGED
@@ -128,8 +146,29 @@
     ): AnnouncementResult {
         val hasDeparted = departedBornMillis[next.instance]?.let { next.bornMillis <= it } ?: false
         if (next.endpoint != endpoint || hasDeparted || isStale(next)) return AnnouncementResult.IGNORED
+        if (next.isDraining || isConfirmed) return accept(next, nowMillis)
+        if (candidate?.let { isSameStart(it, next) } != true) candidateSinceMillis = nowMillis
+        candidate = next
+        val isContinued = nowMillis - candidateSinceMillis >= silenceMillis
+        if (isContinued || discovered?.instance == next.instance) return confirm(next, nowMillis)
+        return AnnouncementResult.UNCONFIRMED
+    }
+
+    private fun confirm(
+        heartbeat: TargetHeartbeat,
+        nowMillis: Long,
+    ): AnnouncementResult {
+        isConfirmed = true
+        return accept(heartbeat, nowMillis)
+    }
+
+    private fun accept(
+        next: TargetHeartbeat,
+        nowMillis: Long,
+    ): AnnouncementResult {
         val before = record
         last = next
+        candidate = null
         discovered = null
         latestBornMillis = maxOf(latestBornMillis, next.bornMillis)
         lastHeardMillis = nowMillis
@@ -139,16 +178,19 @@
 
     private fun isStale(next: TargetHeartbeat): Boolean {
         if (next.bornMillis < latestBornMillis) return true
-        val known = last ?: return false
-        if (next.bornMillis != known.bornMillis) return false
-        return next.instance == known.instance && next.sequence <= known.sequence
+        return listOfNotNull(last, candidate).any { isSameStart(it, next) && next.sequence <= it.sequence }
     }
 
+    private fun isSameStart(
+        one: TargetHeartbeat,
+        other: TargetHeartbeat,
+    ) = one.instance == other.instance && one.bornMillis == other.bornMillis
+
     private fun onLeave(
         message: TargetLeave,
         nowMillis: Long,
     ): AnnouncementResult {
-        val known = last?.takeIf { it.instance == message.instance }
+        val known = listOfNotNull(candidate, last).firstOrNull { it.instance == message.instance }
         if (message.bornMillis != null && known != null &&
             message.bornMillis < known.bornMillis
         ) {
@@ -157,7 +199,8 @@
         if (known == null && message.instance in departedBornMillis) return AnnouncementResult.CONFIRMED
         departedBornMillis[message.instance] = message.bornMillis ?: known?.bornMillis ?: nowMillis
         if (departedBornMillis.size > MAX_DEPARTED) departedBornMillis.remove(departedBornMillis.keys.first())
-        if (known != null) last = null
+        if (last?.instance == message.instance) last = null
+        if (candidate?.instance == message.instance) candidate = null
         if (discovered?.instance == message.instance) discovered = null
         return AnnouncementResult.CHANGED
     }
--- a/node/src/main/kotlin/dev/baobabhollow/node/AnnouncementHandler.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/AnnouncementHandler.kt
@@ -4,12 +4,16 @@
 import dev.baobabhollow.model.TargetRecord
 import org.apache.logging.log4j.Level
 
-/** Handles the announcements of the target on the node's VM. Calls [onChange] before it responds to the target. */
+/**
+ * Handles the announcements of the target on the node's VM. Calls [onChange] before it responds to the target, and
+ * [onUnconfirmed] for each heartbeat that needs a confirmation by the target's health path.
+ */
 internal class AnnouncementHandler(
     settings: AnnouncedTargetSettings,
     private val adapter: PlatformAdapter,
     private val nowMillis: () -> Long,
     private val onChange: (TargetRecord?) -> Unit,
+    private val onUnconfirmed: () -> Unit,
 ) {
     private val target =
         AnnouncedTarget(
@@ -18,9 +22,9 @@
             (settings.heartbeatSeconds * MISSED_HEARTBEATS * MILLIS_PER_SECOND).toLong(),
         )
 
-    /** True once the target has sent a heartbeat or a leave message. */
+    /** True while the identity or the state of the target has to be probed. */
     @get:Synchronized
-    val hasAnnounced: Boolean get() = target.hasAnnounced
+    val needsProbe: Boolean get() = target.needsProbe
 
     /** Processes a message from a target and returns the response. */
     fun handle(request: OperatorRequest): OperatorResponse =
@@ -51,11 +55,17 @@
         when (target.onMessage(message, nowMillis())) {
             AnnouncementResult.CHANGED -> publishChange("announced", message)
             AnnouncementResult.IGNORED -> EventLog.write("announcement_ignored", "message" to message)
+            AnnouncementResult.UNCONFIRMED -> onUnconfirmed(message)
             AnnouncementResult.CONFIRMED -> Unit
         }
         return OperatorResponse(OK, "{}")
     }
 
+    private fun onUnconfirmed(message: TargetMessage) {
+        EventLog.write("announcement_unconfirmed", "message" to message)
+        onUnconfirmed()
+    }
+
     private fun publishChange(
         cause: String,
         message: TargetMessage?,
--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -80,6 +80,7 @@
                 adapter,
                 nowMillis,
                 ::applyTarget,
+                ::confirmTarget,
             )
         }
     private val targetDiscovery =
@@ -217,6 +218,10 @@
         if (!control.announceTarget(target)) EventLog.write("target_announcement_lost", level = Level.WARN)
     }
 
+    private fun confirmTarget() {
+        targetDiscovery?.probeSoon()
+    }
+
     private fun incarnation(): Long = control.view.nodes[settings.node]?.incarnation ?: self.incarnation
 
     private fun controlPlane(registry: PrometheusRegistry): ControlPlane =
--- a/node/src/main/kotlin/dev/baobabhollow/node/TargetDiscovery.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/TargetDiscovery.kt
@@ -7,10 +7,12 @@
 import io.netty.handler.codec.http.HttpMethod
 import org.apache.logging.log4j.Level
 import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicReference
 
 /**
- * Probes the target on the VM of a node that has just started for its identity. The next heartbeat may be more than a
- * second away, and no call can be served without a known target.
+ * Probes the target on the VM of a node that has just started for its identity, since the next heartbeat may be more
+ * than a second away and no call can be served without a known target, and probes it again for each heartbeat that has
+ * to be confirmed.
  */
 internal class TargetDiscovery(
     private val endpoint: Endpoint,
@@ -18,20 +20,31 @@
     private val announcements: AnnouncementHandler,
     private val nowMillis: () -> Long,
 ) {
-    private val isStarted = AtomicBoolean()
+    private val isProbing = AtomicBoolean()
+    private val healthPath = AtomicReference<String>()
 
-    /** Probes [healthPath] in the background. Repeated calls have no effect. */
-    fun start(healthPath: String) {
-        if (!isStarted.compareAndSet(false, true)) return
-        Thread({ run(healthPath) }, "target-search").apply { isDaemon = true }.start()
+    /** Sets the [path] to probe, and probes it in the background when it becomes known. */
+    fun start(path: String) {
+        if (healthPath.getAndSet(path) == null) probeSoon()
     }
 
-    private fun run(healthPath: String) {
-        LogHttpClient(endpoint, LIMITS, nowMillis).use { http ->
-            repeat(ATTEMPTS) { attempt ->
-                if (attempt > 0) Thread.sleep(PAUSE_MILLIS)
-                if (announcements.hasAnnounced || probe(http, healthPath)) return
+    /** Probes the target in the background, unless its path is not known yet or a probe is in progress. */
+    fun probeSoon() {
+        val path = healthPath.get() ?: return
+        if (!announcements.needsProbe || !isProbing.compareAndSet(false, true)) return
+        Thread({ run(path) }, "target-search").apply { isDaemon = true }.start()
+    }
+
+    private fun run(path: String) {
+        try {
+            LogHttpClient(endpoint, LIMITS, nowMillis).use { http ->
+                repeat(ATTEMPTS) { attempt ->
+                    if (attempt > 0) Thread.sleep(PAUSE_MILLIS)
+                    if (!announcements.needsProbe || probe(http, path)) return
+                }
             }
+        } finally {
+            isProbing.set(false)
         }
     }
 
--- a/node/src/test/kotlin/dev/baobabhollow/node/AnnouncedTargetSpec.kt
+++ b/node/src/test/kotlin/dev/baobabhollow/node/AnnouncedTargetSpec.kt
@@ -20,13 +20,21 @@
     endpoint: Endpoint = ENDPOINT,
 ) = TargetHeartbeat(instance, born, sequence, endpoint, SERVICE, ReleaseId("v1"), 12, isDraining)
 
+private fun newTarget() = AnnouncedTarget(ENDPOINT, SERVICE, SILENCE_MILLIS)
+
+/** Target whose health path has answered as [instance]. */
+private fun probedTarget(instance: String = "i-1") =
+    newTarget().also { it.onProbeResponse(DiscoveredTarget(instance, 12), 0) shouldBe AnnouncementResult.CHANGED }
+
 class AnnouncedTargetSpec :
     DescribeSpec({
         describe("an announced target") {
-            it("is unknown until its first heartbeat") {
-                val target = AnnouncedTarget(ENDPOINT, SERVICE, SILENCE_MILLIS)
+            it("is unknown until its first heartbeat is confirmed") {
+                val target = newTarget()
                 target.record shouldBe null
-                target.onMessage(heartbeat(), 0) shouldBe AnnouncementResult.CHANGED
+                target.onMessage(heartbeat(), 0) shouldBe AnnouncementResult.UNCONFIRMED
+                target.record shouldBe null
+                target.onProbeResponse(DiscoveredTarget("i-1", 12), 0) shouldBe AnnouncementResult.CHANGED
                 target.record?.instance shouldBe "i-1"
                 target.record?.status shouldBe TargetStatus.SERVING
                 target.onMessage(heartbeat(sequence = 2), 0) shouldBe AnnouncementResult.CONFIRMED
@@ -34,7 +42,7 @@
 
             // Guards against a heartbeat that a partition delayed and that returns a draining target to service.
             it("ignores stale heartbeats") {
-                val target = AnnouncedTarget(ENDPOINT, SERVICE, SILENCE_MILLIS)
+                val target = probedTarget()
                 target.onMessage(heartbeat(sequence = 5), 0)
                 target.onMessage(heartbeat(sequence = 6, isDraining = true), 0) shouldBe AnnouncementResult.CHANGED
                 target.onMessage(heartbeat(sequence = 4), 0) shouldBe AnnouncementResult.IGNORED
@@ -44,7 +52,7 @@
 
             // Guards against a heartbeat of a crashed target that arrives after the first one of its successor.
             it("is that of the latest start, also under the same name") {
-                val target = AnnouncedTarget(ENDPOINT, SERVICE, SILENCE_MILLIS)
+                val target = probedTarget()
                 target.onMessage(heartbeat(born = 100, sequence = 50), 0)
                 target.onMessage(heartbeat(instance = "i-2", born = 200, sequence = 1), 0) shouldBe
                     AnnouncementResult.CHANGED
@@ -57,7 +65,7 @@
 
             // Guards against calls to a target that has left but still accepts connections for some seconds.
             it("is removed once it has left, and a later heartbeat does not restore it") {
-                val target = AnnouncedTarget(ENDPOINT, SERVICE, SILENCE_MILLIS)
+                val target = probedTarget()
                 target.onMessage(heartbeat(), 0)
                 target.onMessage(TargetLeave("i-2", 50), 0)
                 target.record?.instance shouldBe "i-1"
@@ -72,16 +80,59 @@
             // Guards against a restarted node that receives a leave message and then a delayed heartbeat from before
             // it.
             it("has left also for a node that did not know it, until it restarts") {
-                val target = AnnouncedTarget(ENDPOINT, SERVICE, SILENCE_MILLIS)
+                val target = newTarget()
                 target.onMessage(TargetLeave("i-1", null), 5_000) shouldBe AnnouncementResult.CHANGED
                 target.onMessage(heartbeat(born = 100, sequence = 45), 7_000) shouldBe AnnouncementResult.IGNORED
                 target.record shouldBe null
-                target.onMessage(heartbeat(instance = "i-2", born = 200), 7_000) shouldBe AnnouncementResult.CHANGED
+                target.onMessage(heartbeat(instance = "i-2", born = 200), 7_000) shouldBe
+                    AnnouncementResult.UNCONFIRMED
+                target.onProbeResponse(DiscoveredTarget("i-2", 12), 7_000) shouldBe AnnouncementResult.CHANGED
                 target.onMessage(heartbeat(instance = "i-1", born = 6_000), 8_000) shouldBe AnnouncementResult.CHANGED
             }
 
+            // Guards against a restarted node that takes a heartbeat from before a leave or a drain for news, when its
+            // previous process has acknowledged that (review/3).
+            it("is not announced by a heartbeat that its health path does not confirm") {
+                val target = newTarget()
+                target.onMessage(heartbeat(sequence = 5), 0) shouldBe AnnouncementResult.UNCONFIRMED
+                target.needsProbe shouldBe true
+                target.onProbeResponse(DiscoveredTarget("i-2", 12), 10) shouldBe AnnouncementResult.CHANGED
+                target.record?.instance shouldBe "i-2"
+                target.onMessage(heartbeat(sequence = 6), 1_000) shouldBe AnnouncementResult.UNCONFIRMED
+                target.record?.instance shouldBe "i-2"
+                target.onMessage(heartbeat(instance = "i-2", born = 200), 1_500) shouldBe AnnouncementResult.CHANGED
+                target.needsProbe shouldBe false
+                target.onMessage(heartbeat(sequence = 7), 2_000) shouldBe AnnouncementResult.IGNORED
+            }
+
+            // Guards against a target that is never used because its health path fails while it serves.
+            it("is announced once its heartbeats have continued for longer than one is delayed") {
+                val target = newTarget()
+                target.onMessage(heartbeat(sequence = 5), 1_000) shouldBe AnnouncementResult.UNCONFIRMED
+                target.onMessage(heartbeat(sequence = 5), 1_000 + SILENCE_MILLIS) shouldBe AnnouncementResult.IGNORED
+                target.onMessage(heartbeat(sequence = 6), 999 + SILENCE_MILLIS) shouldBe
+                    AnnouncementResult.UNCONFIRMED
+                target.record shouldBe null
+                target.onMessage(heartbeat(sequence = 7), 1_000 + SILENCE_MILLIS) shouldBe AnnouncementResult.CHANGED
+                target.record?.status shouldBe TargetStatus.SERVING
+            }
+
+            // Guards against a late heartbeat that a probe from before the leave or the drain confirms.
+            it("is not confirmed after it has left or drains") {
+                val left = newTarget()
+                left.onMessage(heartbeat(), 0)
+                left.onMessage(TargetLeave("i-1", null), 10) shouldBe AnnouncementResult.CHANGED
+                left.onProbeResponse(DiscoveredTarget("i-1", 12), 20) shouldBe AnnouncementResult.IGNORED
+                left.record shouldBe null
+                val draining = newTarget()
+                draining.onMessage(heartbeat(sequence = 3), 0)
+                draining.onMessage(heartbeat(sequence = 4, isDraining = true), 10) shouldBe AnnouncementResult.CHANGED
+                draining.onProbeResponse(DiscoveredTarget("i-1", 12), 20) shouldBe AnnouncementResult.IGNORED
+                draining.record?.status shouldBe TargetStatus.DRAINING
+            }
+
             it("is not one at another address") {
-                val target = AnnouncedTarget(ENDPOINT, SERVICE, SILENCE_MILLIS)
+                val target = newTarget()
                 target.onMessage(heartbeat(endpoint = Endpoint("10.1.0.9", 8301)), 0) shouldBe
                     AnnouncementResult.IGNORED
                 target.record shouldBe null
@@ -89,8 +140,8 @@
 
             // Guards against a restarted node that serves no calls until the next heartbeat of its target.
             it("is known from a probe, without a release, until it announces itself") {
-                val target = AnnouncedTarget(ENDPOINT, SERVICE, SILENCE_MILLIS)
-                target.hasAnnounced shouldBe false
+                val target = newTarget()
+                target.needsProbe shouldBe true
                 target.onProbeResponse(DiscoveredTarget("i-1", 12), 0) shouldBe AnnouncementResult.CHANGED
                 target.record?.instance shouldBe "i-1"
                 target.record?.service shouldBe SERVICE
@@ -103,26 +154,26 @@
 
             // Guards against a probe response in flight that reverts a leave or drain which the node has acknowledged.
             it("ignores probe responses once it has announced something") {
-                val draining = AnnouncedTarget(ENDPOINT, SERVICE, SILENCE_MILLIS)
+                val draining = newTarget()
                 draining.onMessage(heartbeat(isDraining = true), 0)
                 draining.onProbeResponse(DiscoveredTarget("i-1", 12), 0) shouldBe AnnouncementResult.IGNORED
                 draining.record?.status shouldBe TargetStatus.DRAINING
-                val left = AnnouncedTarget(ENDPOINT, SERVICE, SILENCE_MILLIS)
+                val left = newTarget()
                 left.onMessage(TargetLeave("i-1", null), 0)
                 left.onProbeResponse(DiscoveredTarget("i-1", 12), 0) shouldBe AnnouncementResult.IGNORED
                 left.record shouldBe null
             }
 
             it("is removed when it leaves after a probe") {
-                val target = AnnouncedTarget(ENDPOINT, SERVICE, SILENCE_MILLIS)
+                val target = newTarget()
                 target.onProbeResponse(DiscoveredTarget("i-1", 12), 0)
                 target.onMessage(TargetLeave("i-1", null), 0) shouldBe AnnouncementResult.CHANGED
                 target.record shouldBe null
             }
 
             it("is down after too long a silence, until the next heartbeat") {
-                val target = AnnouncedTarget(ENDPOINT, SERVICE, SILENCE_MILLIS)
-                target.checkSilence(SILENCE_MILLIS * 2) shouldBe false
+                val target = probedTarget()
+                newTarget().checkSilence(SILENCE_MILLIS * 2) shouldBe false
                 target.onMessage(heartbeat(), 0)
                 target.checkSilence(SILENCE_MILLIS) shouldBe false
                 target.checkSilence(SILENCE_MILLIS + 1) shouldBe true
