Bound the memory that a node holds in all

Cause: each queue, copy and connection had a limit of its own, and nothing limited their sum. 48 copies of bodies for retries took all direct memory; from then on each read waited half a second in the JVM's reservation on the only event loop, and the timers that would have freed memory ran late for the same reason.

Change: HeldMemory counts what calls and connections hold in all: bodies for retries, slots and connections, requests that wait on a connection, responses held back behind earlier ones, bytes that a peer has not taken, heads that are incomplete, and the objects of calls. When it runs short, a node gives up copies for retries, reads little at a time, refuses calls with a body and then all calls as not run (reason memory-limit, logged with the bytes held, Retry-After 0.3 s), and writes only what peers take at once. A connection whose head is incomplete is closed when memory is full. A pipelined request is executed early only if its response has room. The limit is half of the JVM's direct memory; the gauge held_bytes shows the sum. The parts of waiting requests and held responses also go through PendingBody now.

--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -103,6 +103,7 @@
             proxy?.loadPermille
                 ?: 0
         }
+        metrics.gauge("held_bytes", "Memory that calls and connections hold, in bytes") { proxy?.heldBytes ?: 0L }
         logClaims?.let { metrics.claims(it.counters) }
     }
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/BodyCoalescer.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/BodyCoalescer.kt
@@ -21,7 +21,7 @@
         ctx: ChannelHandlerContext,
         message: Any,
     ) {
-        if (message is HttpContent && message !is LastHttpContent && message.decoderResult().isSuccess) {
+        if (message is HttpContent && isShort(message)) {
             merge(ctx, message)
         } else {
             emit(ctx)
@@ -29,6 +29,9 @@
         }
     }
 
+    private fun isShort(part: HttpContent) =
+        part !is LastHttpContent && part.decoderResult().isSuccess && part.content().readableBytes() < SHORT_BYTES
+
     private fun merge(
         ctx: ChannelHandlerContext,
         part: HttpContent,
@@ -91,7 +94,8 @@
     }
 
     private companion object {
-        /** A read returns no more than this; merging beyond it would only delay the parts. */
-        const val MAX_MERGED_BYTES = 65_536
+        /** The objects of a longer part take little against its bytes, and need no copy. */
+        const val SHORT_BYTES = 4_096
+        const val MAX_MERGED_BYTES = 16_384
     }
 }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallFailure.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallFailure.kt
@@ -33,6 +33,7 @@
     DRAINING("draining", CallHealth.NO_CONNECTION),
     OVERLOADED("overloaded"),
     NODE_BUSY("node-busy"),
+    MEMORY_LIMIT("memory-limit"),
     WAIT_TOO_LONG("wait-too-long"),
     DEADLINE_PASSED("deadline-passed"),
     WRONG_TARGET("wrong-target"),
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/Codecs.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/Codecs.kt
@@ -1,5 +1,8 @@
 package dev.baobabhollow.proxy
 
+import io.netty.buffer.ByteBuf
+import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.http.HttpConstants
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
@@ -14,6 +17,17 @@
 internal class StrictRequestDecoder(
     settings: ProxySettings,
 ) : HttpRequestDecoder(decoderConfig(settings)) {
+    private val partial = PartialMessage()
+
+    /** Memory that the received part of an incomplete head takes, in bytes. */
+    val partialBytes: Long get() = actualReadableBytes() + partial.bytes
+
+    override fun decode(
+        ctx: ChannelHandlerContext,
+        buffer: ByteBuf,
+        out: MutableList<Any>,
+    ) = partial.measure(buffer, out) { super.decode(ctx, buffer, out) }
+
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) = rejectTwoLengths()
 }
 
@@ -23,8 +37,16 @@
 ) : HttpResponseDecoder(decoderConfig(settings)) {
     var method: HttpMethod = HttpMethod.GET
 
-    /** True if the buffered bytes do not form a complete message yet. */
-    val hasPartialMessage: Boolean get() = actualReadableBytes() > 0
+    private val partial = PartialMessage()
+
+    /** Memory that the received part of an incomplete head takes, in bytes. */
+    val partialBytes: Long get() = actualReadableBytes() + partial.bytes
+
+    override fun decode(
+        ctx: ChannelHandlerContext,
+        buffer: ByteBuf,
+        out: MutableList<Any>,
+    ) = partial.measure(buffer, out) { super.decode(ctx, buffer, out) }
 
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) = rejectTwoLengths()
 
@@ -32,6 +54,45 @@
         method == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
 }
 
+/** Measures what a decoder has taken from its buffer and keeps until the message is complete. */
+private class PartialMessage {
+    var bytes = 0L
+        private set
+
+    /** Runs [decode], which takes bytes from [buffer] and adds complete messages to [out]. */
+    inline fun measure(
+        buffer: ByteBuf,
+        out: List<Any>,
+        decode: () -> Unit,
+    ) {
+        val start = buffer.readerIndex()
+        val messages = out.size
+        decode()
+        if (out.size > messages) {
+            bytes = 0
+        } else {
+            val count = buffer.readerIndex() - start
+            if (count > 0) bytes += count + linesIn(buffer, start, count) * HEADER_FIELD_BYTES
+        }
+    }
+
+    private fun linesIn(
+        buffer: ByteBuf,
+        start: Int,
+        count: Int,
+    ): Long {
+        var lines = 0L
+        buffer.forEachByte(start, count) {
+            if (it == HttpConstants.LF) lines++
+            true
+        }
+        return lines
+    }
+}
+
+/** Estimated memory of the objects of a header field, in bytes. */
+internal const val HEADER_FIELD_BYTES = 128L
+
 /** Encodes responses; [method] is that of the current request, because responses to HEAD have no body. */
 internal class CallerResponseEncoder : HttpResponseEncoder() {
     var method: HttpMethod = HttpMethod.GET
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ConnectionPool.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ConnectionPool.kt
@@ -45,6 +45,7 @@
     private val limit: ConnectionLimit,
     private val nowMillis: () -> Long,
     val isLagging: () -> Boolean,
+    val memory: HeldMemory,
 ) {
     private val idle = ConcurrentLinkedDeque<UpstreamConnection>()
     private val address = InetSocketAddress(endpoint.host, endpoint.port)
@@ -53,6 +54,7 @@
             .group(loop)
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, MemoryAwareReads(memory))
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeoutMillis)
             .handler(
                 object : ChannelInitializer<Channel>() {
@@ -109,8 +111,10 @@
 
     private fun prepare(channel: Channel) {
         val decoder = StrictResponseDecoder(settings)
-        val connection = UpstreamConnection(channel, decoder, settings.maxStrayResponseBytes, ::release)
+        val meter = ConnectionMeter(memory) { decoder.partialBytes }
+        val connection = UpstreamConnection(channel, decoder, meter, settings.maxStrayResponseBytes, ::release)
         channel.pipeline().addLast(
+            meter,
             connection.strayByteGuard,
             HttpRequestEncoder(),
             decoder,
@@ -166,13 +170,14 @@
     private val settings: ProxySettings,
     private val nowMillis: () -> Long,
     private val isLagging: () -> Boolean,
+    private val memory: HeldMemory,
 ) {
     private val pools = HashMap<Endpoint, ConnectionPool>()
 
     fun of(endpoint: Endpoint): ConnectionPool =
         pools.getOrPut(endpoint) {
             val limit = ConnectionLimit(settings.connectionsPerOwnerAndLoop)
-            ConnectionPool(loop, endpoint, settings, limit, nowMillis, isLagging)
+            ConnectionPool(loop, endpoint, settings, limit, nowMillis, isLagging, memory)
         }
 
     fun sweep() {
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamCall.kt
@@ -50,14 +50,32 @@
     private var exchange: Exchange? = null
     private var isResponseStarted = false
     private var isEnded = false
-    private val buffered = ArrayDeque<HttpObject>(0)
-    private var bufferedBytes = 0L
+
+    /** Heads of a response that cannot be written yet, and its body. */
+    private val bufferedHeads = ArrayDeque<HttpResponse>(0)
+    private val bufferedBody = PendingBody(node.memory)
+
+    /** Room for a response that has to be held back. */
+    private val reserved = HeldAccount(node.memory)
+
+    /** Refusal of a request that was read and could not be held, or null. */
+    var refusal: CallFailure? = null
+
+    /** Estimated memory of the head and of the objects of the call, in bytes. */
+    val headBytes: Long = CALL_BYTES + head.uri().length + head.headers().sumOf { bytesOf(it) }
 
     val loop: EventLoop get() = connection.loop
 
     /** False while no more of the response should be read from the target. */
     val isWritable: Boolean
-        get() = if (isFirst) connection.isWritable else bufferedBytes < node.settings.maxBufferedResponseBytes
+        get() = if (isFirst) connection.isWritable else mayBuffer()
+
+    private fun mayBuffer() = bufferedBody.bytes < node.settings.maxBufferedResponseBytes
+
+    private fun reserve() {
+        val unused = node.settings.maxBufferedResponseBytes - bufferedBody.bytes
+        reserved.set(if (isFirst || isEnded) 0L else unused.coerceAtLeast(0L))
+    }
 
     /** False while no more of the request body should be read from the caller. */
     val acceptsBody: Boolean get() = isRequestDone || exchange?.isWritable != false
@@ -65,7 +83,9 @@
     /** Starts the exchange. It may end at once. */
     fun open(port: CallPort) {
         exchange = EndedExchange
-        val opened = port.open(this, head)
+        reserve()
+        val opened =
+            refusal?.let { failure -> respondNow(this) { writeFailureResponse(failure) } } ?: port.open(this, head)
         if (!isEnded) exchange = opened
         // A request without a body is complete here, so that an immediate response can keep the connection alive.
         if (hasNoBody) exchange?.onRequestBody(LastHttpContent.EMPTY_LAST_CONTENT)
@@ -103,6 +123,7 @@
     fun cancel() {
         dropBuffer()
         isEnded = true
+        reserve()
         val current = exchange
         exchange = null
         current?.onDownstreamClosed()
@@ -111,9 +132,10 @@
     /** Writes what is buffered, and writes all further parts at once. */
     fun promote() {
         isFirst = true
-        if (buffered.isEmpty()) return
-        while (buffered.isNotEmpty()) emit(buffered.removeFirst())
-        bufferedBytes = 0
+        reserve()
+        if (bufferedHeads.isEmpty()) return
+        while (bufferedHeads.isNotEmpty()) emit(bufferedHeads.removeFirst())
+        bufferedBody.drain(::emit)
         flush()
         onDownstreamWritability(isWritable)
     }
@@ -174,8 +196,8 @@
     }
 
     private fun buffer(part: HttpObject) {
-        buffered.addLast(part)
-        if (part is HttpContent) bufferedBytes += part.content().readableBytes()
+        if (part is HttpResponse) bufferedHeads.addLast(part) else bufferedBody.add(part as HttpContent)
+        reserve()
         if (!isWritable) exchange?.onDownstreamWritability(false)
     }
 
@@ -186,12 +208,17 @@
     }
 
     private fun dropBuffer() {
-        buffered.forEach { ReferenceCountUtil.release(it) }
-        buffered.clear()
-        bufferedBytes = 0
+        bufferedHeads.forEach { ReferenceCountUtil.release(it) }
+        bufferedHeads.clear()
+        bufferedBody.clear()
     }
 
     private companion object {
         const val SERVER_ERRORS = 500
+
+        /** Estimate of the objects of a call on a 64-bit JVM: exchange, attempts, timers. */
+        const val CALL_BYTES = 2_048L
+
+        fun bytesOf(field: Map.Entry<String, String>) = HEADER_FIELD_BYTES + field.key.length + field.value.length
     }
 }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamHandler.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamHandler.kt
@@ -33,7 +33,9 @@
 /** Serves the requests of one downstream connection, and returns the responses in the order of the requests. */
 internal class DownstreamHandler(
     private val node: NodeCore,
+    private val decoder: StrictRequestDecoder,
     private val encoder: CallerResponseEncoder,
+    private val meter: ConnectionMeter,
     private val port: CallPort,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
@@ -41,9 +43,8 @@
     /** Opened calls in the order of their requests. The response to the first one can be written. */
     private val calls = ArrayDeque<DownstreamCall>(1)
 
-    /** Calls that have not been opened, each followed by the parts of its body. */
-    private val waiting = ArrayDeque<Any>(0)
-    private var waitingBytes = 0L
+    /** Calls that have not been opened. */
+    private val waiting = ArrayDeque<WaitingCall>(0)
 
     /** True if the end of a request without a body is the next message. */
     private var isEndToSkip = false
@@ -63,7 +64,7 @@
     private var lastCall: DownstreamCall? = null
 
     val loop: EventLoop get() = context.channel().eventLoop()
-    val isWritable: Boolean get() = context.channel().isWritable
+    val isWritable: Boolean get() = meter.isWritable
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
@@ -78,7 +79,7 @@
             isLingering -> discard(message)
             isInputEnded -> ReferenceCountUtil.release(message)
             message is HttpRequest -> receiveHead(message)
-            message is HttpContent && waiting.isNotEmpty() -> enqueue(message)
+            message is HttpContent && waiting.isNotEmpty() -> receiveWaiting(message)
             message is HttpContent -> receiveBody(message)
         }
     }
@@ -99,11 +100,11 @@
         lastCall = call
         isEndToSkip = call.hasNoBody
         // Counted from here on, so that draining waits for requests that are not opened yet too.
-        node.exchangeStarted()
+        node.exchangeStarted(call.headBytes)
         if (isNew) hold()
-        if (waiting.isNotEmpty() || !mayOpen(call)) enqueue(call) else open(call)
+        if (waiting.isNotEmpty() || !mayOpen(call)) waiting.addLast(WaitingCall(call, node.memory)) else open(call)
         if (head is HttpContent && waiting.isNotEmpty()) {
-            enqueue(head)
+            receiveWaiting(head)
         } else if (head is HttpContent) {
             receiveBody(head)
         }
@@ -126,23 +127,21 @@
     private fun mayOpen(call: DownstreamCall): Boolean {
         if (isHeld) return false
         val last = calls.lastOrNull() ?: return true
-        return last.isRequestDone && calls.size < node.settings.maxPipelinedCalls && port.mayOverlap(call.head)
+        val isWithinLimits = calls.size < node.settings.maxPipelinedCalls && node.allowsBufferedResponse()
+        return last.isRequestDone && isWithinLimits && port.mayOverlap(call.head)
     }
 
-    private fun enqueue(message: Any) {
-        waiting.addLast(message)
-        waitingBytes += bytesOf(message)
-    }
-
-    private fun bytesOf(message: Any) =
-        if (message is HttpContent) message.content().readableBytes().toLong() else HEAD_BYTES
-
     private fun open(call: DownstreamCall) {
         calls.addLast(call)
         if (calls.size == 1) call.promote()
         call.open(port)
     }
 
+    private fun receiveWaiting(content: HttpContent) {
+        waiting.last().receive(content)
+        if (!hasRoom()) updateReading()
+    }
+
     private fun receiveBody(content: HttpContent) {
         val call = calls.lastOrNull()?.takeIf { !it.isRequestDone }
         if (call == null) {
@@ -157,6 +156,8 @@
     override fun channelReadComplete(ctx: ChannelHandlerContext) {
         flushRequests()
         updateReading()
+        val isUnread = calls.isEmpty() && waiting.isEmpty() && decoder.partialBytes > 0
+        if (isUnread && node.memory.isFull) context.close()
     }
 
     private fun flushRequests() {
@@ -178,7 +179,10 @@
         if (config.isAutoRead != isReading) config.isAutoRead = isReading
     }
 
-    private fun hasRoom() = waitingBytes < node.settings.maxWaitingRequestBytes
+    private fun hasRoom(): Boolean {
+        if (waiting.isEmpty()) return true
+        return !node.memory.isFull && waiting.sumOf { it.bytes } < node.settings.maxWaitingRequestBytes
+    }
 
     /** True if no request follows that of [call]. */
     fun isLast(call: DownstreamCall) = lastCall === call
@@ -202,7 +206,7 @@
     ) {
         calls.removeFirst()
         // A response counts as in flight until it is written, so that a stop does not cut it off.
-        written.addListener { node.exchangeEnded() }
+        written.addListener { node.exchangeEnded(call.headBytes) }
         when {
             call.isKeptAlive && call.isRequestDone -> processWaiting()
             call.isRequestDone -> closeAfter(written)
@@ -272,15 +276,15 @@
     private fun openNext(): Boolean {
         if (!context.channel().isActive) return false
         val next = waiting.firstOrNull() ?: return false
-        if (next is DownstreamCall && !mayOpen(next)) return false
+        if (!mayOpen(next.call)) return false
         waiting.removeFirst()
-        waitingBytes -= bytesOf(next)
-        if (next is DownstreamCall) open(next) else receiveBody(next as HttpContent)
+        open(next.call)
+        next.passBody(::receiveBody)
         return true
     }
 
     override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
-        calls.firstOrNull()?.onDownstreamWritability(ctx.channel().isWritable)
+        calls.firstOrNull()?.onDownstreamWritability(isWritable)
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
@@ -293,10 +297,9 @@
         val unopened = waiting.toList()
         calls.clear()
         waiting.clear()
-        waitingBytes = 0
         open.forEach { it.cancel() }
-        repeat(open.size + unopened.count { it is DownstreamCall }) { node.exchangeEnded() }
-        unopened.forEach { if (it !is DownstreamCall) ReferenceCountUtil.release(it) }
+        unopened.forEach { it.release() }
+        (open + unopened.map { it.call }).forEach { node.exchangeEnded(it.headBytes) }
     }
 
     override fun userEventTriggered(
@@ -314,6 +317,53 @@
         if (cause !is IOException) node.logUnexpected(cause)
         ctx.close()
     }
+}
+
+/** A call that has not been opened, and the part of its body that has been received. */
+private class WaitingCall(
+    val call: DownstreamCall,
+    private val memory: HeldMemory,
+) {
+    private val body = PendingBody(memory)
+
+    /** Part that the decoder could not parse, which ends the body. */
+    private var malformed: HttpContent? = null
+
+    val bytes: Long get() = HEAD_BYTES + body.bytes
+
+    /** Receives a part of the body and takes ownership of its buffer. */
+    fun receive(content: HttpContent) {
+        when {
+            content.decoderResult().isFailure -> {
+                malformed = content
+            }
+
+            content.content().isReadable && memory.isFull -> {
+                call.refusal = CallFailure.notRun(FailureReason.MEMORY_LIMIT)
+                body.clear()
+                content.release()
+            }
+
+            call.refusal != null && content !is LastHttpContent -> {
+                content.release()
+            }
+
+            else -> {
+                body.add(content)
+            }
+        }
+    }
+
+    /** Passes the body to [send], which takes ownership of its buffers. */
+    fun passBody(send: (HttpContent) -> Unit) {
+        body.drain(send)
+        malformed?.let(send)
+    }
+
+    fun release() {
+        body.clear()
+        malformed?.release()
+    }
 
     private companion object {
         /** Assumed size of the head of a waiting request. */
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
@@ -42,7 +42,7 @@
     private val fixedTarget: TargetEndpoint?,
     private val callerCallId: String?,
 ) : RelayExchange(node, downstream, deadlines.lastMillis) {
-    private val replay = PendingBody()
+    private val replay = PendingBody(node.memory)
     private val mayRetry = fixedTarget == null && !head.headers().contains(MeshHeaders.RETRY)
     private val profile =
         CallProfile(
@@ -132,7 +132,8 @@
 
     private fun keepForReplay(content: HttpContent) {
         if (!mayRetry || isReplayOverflowed || isEnded) return
-        if (replay.bytes + content.content().readableBytes() <= node.settings.maxReplayBytes) {
+        val bytes = content.content().readableBytes()
+        if (replay.bytes + bytes <= node.settings.maxReplayBytes && (bytes == 0 || node.memory.allowsCopies)) {
             replay.add(content.retainedDuplicate())
             return
         }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
@@ -35,6 +35,7 @@
         if (node.isDraining) return refused(downstream, CallFailure.notRun(FailureReason.DRAINING))
         if (!table.isReady) return refused(downstream, node.startupRefusal(FailureReason.NOT_READY))
         node.lagRefusal(downstream.loop)?.let { return refused(downstream, it) }
+        node.memoryRefusal(downstream.caller.callId, head)?.let { return refused(downstream, it) }
         val route = table.match(path, host)
         if (route == null) {
             node.logUnrouted(downstream.caller.callId, host, path, table.version)
--- /dev/null
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/HeldMemory.kt
@@ -0,0 +1,59 @@
+package dev.baobabhollow.proxy
+
+import java.util.concurrent.atomic.AtomicLong
+
+/**
+ * Counts the memory that the calls and connections of a node hold in all, and decides what may still be added. Reaching
+ * [limitBytes] must not be left to the allocator: it blocks the event loop and then fails, or the process ends.
+ *
+ * What can be missed is given up first: copies for retries, then calls with a body, then all new calls and whatever a
+ * call would have to hold. Thread-safe.
+ */
+internal class HeldMemory(
+    private val limitBytes: Long,
+) {
+    private val held = AtomicLong()
+
+    /** Bytes held now. */
+    val bytes: Long get() = held.get()
+
+    /** True while bodies may be kept for retries. */
+    val allowsCopies: Boolean get() = bytes < limitBytes / COPIES_DIVISOR
+
+    /** True once nothing more may be held. */
+    val isFull: Boolean get() = bytes >= limitBytes
+
+    /** True when little room is left. */
+    val isScarce: Boolean get() = !hasRoomFor(0)
+
+    private fun hasRoomFor(bytes: Long) = this.bytes + bytes < limitBytes - limitBytes / RESERVE_DIVISOR
+
+    /** True if a call may be accepted that has to hold up to [bodyBytes] of its body. */
+    fun allowsCall(bodyBytes: Long): Boolean = if (bodyBytes == 0L) !isFull else hasRoomFor(bodyBytes)
+
+    /** Adds [delta] bytes, which is negative when memory is released. */
+    fun add(delta: Long) {
+        if (delta != 0L) held.addAndGet(delta)
+    }
+
+    private companion object {
+        /** Copies for retries may take a third, so that a burst of uploads still finds room to be forwarded. */
+        const val COPIES_DIVISOR = 3
+
+        /** A quarter is reserved for calls without a body and for what the accepted calls still receive. */
+        const val RESERVE_DIVISOR = 4
+    }
+}
+
+/** Part of [memory] that one holder accounts for. Not thread-safe. */
+internal class HeldAccount(
+    private val memory: HeldMemory,
+) {
+    private var bytes = 0L
+
+    /** Changes the holder's part to [next] bytes. */
+    fun set(next: Long) {
+        memory.add(next - bytes)
+        bytes = next
+    }
+}
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
@@ -13,6 +13,8 @@
 import dev.baobabhollow.model.NodeRecord
 import dev.baobabhollow.model.TargetStatus
 import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpUtil
 import org.apache.logging.log4j.LogManager
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ThreadLocalRandom
@@ -42,6 +44,7 @@
     var isClosing = false
         private set
 
+    val memory = HeldMemory(settings.maxHeldBytes)
     val admission = Admission(settings.admission, self.target?.slots ?: 1)
     val outliers = OutlierDetector(settings.outliers)
     val budgets = RetryBudgets(settings.retries)
@@ -73,8 +76,19 @@
     private fun newPools(loop: EventLoop): LoopPools {
         val lag = LoopLag(nowMillis)
         val isLagging = { lag.millis >= settings.loopLagThresholdMillis }
-        val target = targetEndpoint?.let { ConnectionPool(loop, it, settings, targetLimit, nowMillis, isLagging) }
-        return LoopPools(OwnerPools(loop, settings, nowMillis, isLagging), target, lag)
+        val target =
+            targetEndpoint?.let {
+                ConnectionPool(
+                    loop,
+                    it,
+                    settings,
+                    targetLimit,
+                    nowMillis,
+                    isLagging,
+                    memory,
+                )
+            }
+        return LoopPools(OwnerPools(loop, settings, nowMillis, isLagging, memory), target, lag)
     }
 
     /** Returns the refusal of a new call while the lag of [loop] exceeds the limit, or null. Call on that loop. */
@@ -84,6 +98,24 @@
         return if (lag > limit) CallFailure.notRun(FailureReason.NODE_BUSY).copy(retryAfterMillis = lag) else null
     }
 
+    /** Returns the refusal of the call [head] while the node holds too much for other calls, or null. */
+    fun memoryRefusal(
+        callId: String?,
+        head: HttpRequest,
+    ): CallFailure? {
+        if (memory.allowsCall(heldBodyBytes(head))) return null
+        callLog.write { "event=call_refused call=$callId reason=memory-limit held_bytes=${memory.bytes}" }
+        return CallFailure.notRun(FailureReason.MEMORY_LIMIT).copy(retryAfterMillis = MEMORY_RETRY_MILLIS)
+    }
+
+    /** True if a response may be held back until those to earlier requests of its connection are complete. */
+    fun allowsBufferedResponse(): Boolean = memory.allowsCall(settings.maxBufferedResponseBytes)
+
+    private fun heldBodyBytes(head: HttpRequest): Long {
+        val most = settings.bodyBufferBytes.toLong()
+        return if (HttpUtil.isTransferEncodingChunked(head)) most else minOf(HttpUtil.getContentLength(head, 0L), most)
+    }
+
     /** Returns the refusal of a call while the node has no configuration or no target yet. */
     fun startupRefusal(reason: FailureReason) =
         CallFailure.notRun(reason).copy(retryAfterMillis = settings.notReadyRetryAfterMillis)
@@ -115,11 +147,14 @@
         admission.drain()
     }
 
-    fun exchangeStarted() {
+    /** Counts a call that holds [heldBytes] for its head and its objects. */
+    fun exchangeStarted(heldBytes: Long) {
+        memory.add(heldBytes)
         exchanges.incrementAndGet()
     }
 
-    fun exchangeEnded() {
+    fun exchangeEnded(heldBytes: Long) {
+        memory.add(-heldBytes)
         if (exchanges.decrementAndGet() > 0 || !isDraining) return
         synchronized(idleLock) { idleLock.notifyAll() }
     }
@@ -204,6 +239,9 @@
 
     private companion object {
         val LOG = LogManager.getLogger(NodeCore::class.java)
+
+        /** A call takes some hundred milliseconds, after which its memory is free again. */
+        const val MEMORY_RETRY_MILLIS = 300L
         const val NANOS_PER_MICRO = 1_000L
         const val ID_RADIX = 36
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/OwnerExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/OwnerExchange.kt
@@ -55,6 +55,7 @@
         if (malformed != null) return respondNow(downstream) { downstream.refuseMalformed(malformed) }
         if (node.isDraining) return refused(downstream, CallFailure.notRun(FailureReason.DRAINING))
         node.lagRefusal(downstream.loop)?.let { return refused(downstream, it) }
+        node.memoryRefusal(head.headers().get(MeshHeaders.CALL), head)?.let { return refused(downstream, it) }
         val headers = head.headers()
         val target = node.self.target
         val named = headers.get(MeshHeaders.ROUTE)?.let { node.tables().route(RouteId(it)) }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/PendingBody.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/PendingBody.kt
@@ -12,13 +12,19 @@
  * Queue of body parts that cannot be sent yet. Small parts are copied into segments, so that the memory in use is
  * proportional to the bytes of the body, however short its chunks are and however much a read buffer holds besides.
  */
-internal class PendingBody {
+internal class PendingBody(
+    memory: HeldMemory,
+) {
+    private val account = HeldAccount(memory)
     private val segments = ArrayDeque<ByteBuf>(2)
     private var trailers: HttpHeaders? = null
 
     /** True if the last segment has room and only this queue refers to it. */
     private var isLastOpen = false
 
+    /** Memory that the segments take, also beyond the bytes of the body. */
+    private var segmentBytes = 0L
+
     /** Number of queued bytes. */
     var bytes = 0
         private set
@@ -38,17 +44,21 @@
         }
         append(content.content())
         content.release()
+        account.set(segmentBytes)
     }
 
     private fun append(part: ByteBuf) {
         if (part.readableBytes() >= SEGMENT_BYTES / 2 && isCompact(part)) {
             segments.addLast(part.retain())
+            segmentBytes += memoryOf(part)
             isLastOpen = false
             return
         }
         while (part.isReadable) {
             val segment = openSegment(part.readableBytes())
+            val before = memoryOf(segment)
             segment.writeBytes(part, minOf(part.readableBytes(), segment.maxWritableBytes()))
+            segmentBytes += memoryOf(segment) - before
         }
     }
 
@@ -57,18 +67,23 @@
         isLastOpen = true
         val segment = ByteBufAllocator.DEFAULT.directBuffer(minOf(bytes, SEGMENT_BYTES), SEGMENT_BYTES)
         segments.addLast(segment)
+        segmentBytes += memoryOf(segment)
         return segment
     }
 
     /** True if [part] keeps no more than twice its bytes in memory, as a slice of a read buffer may. */
-    private fun isCompact(part: ByteBuf) =
-        generateSequence(part) { it.unwrap() }.last().capacity() <= part.readableBytes() * 2
+    private fun isCompact(part: ByteBuf) = memoryOf(part) <= part.readableBytes() * 2
+
+    /** Bytes of the buffer that [part] belongs to. */
+    private fun memoryOf(part: ByteBuf): Int = generateSequence(part) { it.unwrap() }.last().capacity()
 
     /** Passes all parts to [send], which takes ownership of their buffers. */
     fun drain(send: (HttpContent) -> Unit) {
         while (!isEmpty) {
             val segment = segments.removeFirstOrNull()
             bytes -= segment?.readableBytes() ?: 0
+            segmentBytes -= segment?.let(::memoryOf) ?: 0
+            account.set(segmentBytes)
             send(nextPart(segment))
         }
     }
@@ -105,6 +120,8 @@
         trailers = null
         isWhole = false
         bytes = 0
+        segmentBytes = 0
+        account.set(0)
     }
 
     private companion object {
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
@@ -55,6 +55,9 @@
     /** Number of calls in flight on both ports. */
     val inFlight: Int get() = node.inFlight
 
+    /** Bytes that the calls and connections of the node hold. */
+    val heldBytes: Long get() = node.memory.bytes
+
     /** Calls that hold a slot of the local target or wait for one, in permille of its slots. */
     val loadPermille: Int get() = node.admission.loadPermille
 
@@ -124,6 +127,7 @@
             .option(ChannelOption.SO_REUSEADDR, true)
             .option(ChannelOption.RECVBUF_ALLOCATOR, ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS))
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, MemoryAwareReads(node.memory))
             .childHandler(
                 object : ChannelInitializer<Channel>() {
                     override fun initChannel(channel: Channel) = prepare(channel, port)
@@ -138,13 +142,16 @@
     ) {
         connections.add(channel)
         val encoder = CallerResponseEncoder()
+        val decoder = StrictRequestDecoder(node.settings)
+        val meter = ConnectionMeter(node.memory) { decoder.partialBytes }
         val idle = IdleStateHandler(node.settings.callerIdleMillis, 0, 0, TimeUnit.MILLISECONDS)
         channel.pipeline().addLast(
+            meter,
             idle,
-            StrictRequestDecoder(node.settings),
+            decoder,
             BodyCoalescer(),
             encoder,
-            DownstreamHandler(node, encoder, port),
+            DownstreamHandler(node, decoder, encoder, meter, port),
         )
     }
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxySettings.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxySettings.kt
@@ -6,6 +6,7 @@
 import dev.baobabhollow.calls.RetryBudgetSettings
 import dev.baobabhollow.model.Endpoint
 import dev.baobabhollow.model.ServiceId
+import io.netty.util.internal.PlatformDependent
 
 /** Settings of the data plane of a node. */
 data class ProxySettings(
@@ -19,6 +20,11 @@
     val maxRequestBodyBytes: Long = 256L * 1024 * 1024,
     /** Longest request body that an entry node buffers for retries; calls with longer ones are not retried. */
     val maxReplayBytes: Int = 32_768,
+    /**
+     * Most bytes that the calls and connections of a node may hold in all, for requests and responses. The default is
+     * half of the direct memory of the JVM, since buffers that are only partly used take the other half.
+     */
+    val maxHeldBytes: Long = PlatformDependent.maxDirectMemory() / 2,
     /** Bytes of a request body that an owner buffers before the call takes a slot, so that a slow sender holds none. */
     val bodyBufferBytes: Int = 65_536,
     /**
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
@@ -34,7 +34,7 @@
     private var key: ClaimedKey? = null
     private var ticket: Ticket? = null
     private var upstream: UpstreamCall? = null
-    private val pending = PendingBody()
+    private val pending = PendingBody(node.memory)
     private var isSubmitted = false
     private var isSlotHeld = false
     private var isEnded = false
@@ -63,6 +63,10 @@
     }
 
     private fun collect(content: HttpContent) {
+        if (content.content().isReadable && node.memory.isFull) {
+            content.release()
+            return finish(CallFailure.notRun(FailureReason.MEMORY_LIMIT))
+        }
         pending.add(content)
         if (!isSubmitted && (pending.isWhole || pending.bytes >= node.settings.bodyBufferBytes)) submit()
     }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamCall.kt
@@ -18,7 +18,7 @@
 
     private var state = State.CONNECTING
     private var connection: UpstreamConnection? = null
-    private val pending = PendingBody()
+    private val pending = PendingBody(pool.memory)
     private var isStarted = false
     private var headWrite: ChannelFuture? = null
     private var discardedBytes = 0L
@@ -35,7 +35,7 @@
     override val mayHaveRun: Boolean get() = headWrite?.isSuccess == true
 
     override val isWritable: Boolean
-        get() = connection?.channel?.isWritable ?: pending.isEmpty
+        get() = connection?.isWritable ?: pending.isEmpty
 
     override fun start(head: HttpRequest) {
         isEchoExpected = protocol.isCallIdEchoed(head.headers())
@@ -80,10 +80,7 @@
             return
         }
         if (acquired == null) {
-            state = State.ENDED
-            pending.clear()
-            listener.onFailure(CallFailure.notRun(failure ?: unreachable))
-            listener.onReleased()
+            failUnsent(failure ?: unreachable)
             return
         }
         connection = acquired
@@ -100,14 +97,30 @@
         listener.onWritabilityChanged()
     }
 
+    private fun failUnsent(reason: FailureReason) {
+        state = State.ENDED
+        pending.clear()
+        listener.onFailure(CallFailure.notRun(reason))
+        listener.onReleased()
+    }
+
     override fun body(content: HttpContent) {
         when (state) {
-            State.CONNECTING -> pending.add(content)
+            State.CONNECTING -> hold(content)
             State.OPEN -> write(content)
             else -> content.release()
         }
     }
 
+    private fun hold(content: HttpContent) {
+        if (content.content().isReadable && pool.memory.isFull) {
+            content.release()
+            failUnsent(FailureReason.MEMORY_LIMIT)
+        } else {
+            pending.add(content)
+        }
+    }
+
     private fun write(content: HttpContent) {
         val channel = connection?.channel
         if (channel == null) {
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamConnection.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamConnection.kt
@@ -22,6 +22,7 @@
 internal class UpstreamConnection(
     val channel: Channel,
     private val decoder: StrictResponseDecoder,
+    private val meter: ConnectionMeter,
     private val maxStrayBytes: Int,
     private val onIdle: (UpstreamConnection) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
@@ -48,7 +49,10 @@
     var idleSinceMillis = 0L
 
     /** True if the connection can carry another exchange; buffered bytes would become part of the next response. */
-    val isUsable: Boolean get() = channel.isActive && !decoder.hasPartialMessage
+    val isUsable: Boolean get() = channel.isActive && decoder.partialBytes == 0L
+
+    /** False while no more of a request should be written. */
+    val isWritable: Boolean get() = meter.isWritable
 
     fun begin(
         call: UpstreamCall,
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/PendingBodySpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/PendingBodySpec.kt
@@ -16,6 +16,10 @@
 
 class PendingBodySpec :
     DescribeSpec({
+        val memory = HeldMemory(Long.MAX_VALUE)
+
+        afterTest { memory.bytes shouldBe 0 }
+
         fun textOf(parts: List<HttpContent>) = parts.joinToString("") { it.content().toString(Charsets.US_ASCII) }
 
         fun partsOf(send: ((HttpContent) -> Unit) -> Unit): List<HttpContent> {
@@ -31,7 +35,7 @@
         describe("a queued body") {
             // Guards against a heap that fills with the objects of a body's chunks (review/2).
             it("takes few objects when its chunks are short") {
-                val body = PendingBody()
+                val body = PendingBody(memory)
                 repeat(BODY_BYTES / CHUNK_BYTES) {
                     body.add(DefaultHttpContent(Unpooled.copiedBuffer("%08d".format(it), Charsets.US_ASCII)))
                 }
@@ -48,7 +52,7 @@
 
             // Guards against a few bytes that keep the whole read buffer in memory.
             it("does not keep the read buffer of a short part") {
-                val body = PendingBody()
+                val body = PendingBody(memory)
                 val readBuffers = List(20) { Unpooled.buffer(READ_BUFFER_BYTES).writeZero(READ_BUFFER_BYTES) }
                 readBuffers.forEach { body.add(DefaultHttpContent(it.readRetainedSlice(1_000))) }
                 val parts = partsOf(body::drain)
@@ -58,18 +62,17 @@
             }
 
             it("is not copied when its parts fill their buffers") {
-                val body = PendingBody()
+                val body = PendingBody(memory)
                 val part = Unpooled.buffer(READ_BUFFER_BYTES).writeZero(READ_BUFFER_BYTES)
                 body.add(DefaultHttpContent(part))
                 val parts = partsOf(body::drain)
-                parts.single().content() shouldBe part
                 (parts.single().content() === part) shouldBe true
                 part.release()
             }
 
             // Guards against a repeated body to which parts are added that belong to the next copy.
             it("can be passed on again while parts are added, with its trailers") {
-                val body = PendingBody()
+                val body = PendingBody(memory)
                 body.add(DefaultHttpContent(Unpooled.copiedBuffer("one ", Charsets.US_ASCII)))
                 val early = partsOf(body::replay)
                 body.add(DefaultHttpContent(Unpooled.copiedBuffer("two ", Charsets.US_ASCII)))
