End a planned stop with an answer to each call

Change: the announcement may take a quarter of the time that is left, after which new calls are refused. A stopping node refuses calls that may not be repeated and may last longer than its drain. At the end each call in flight gets a final answer: not run if it was not sent, and otherwise unknown.

CallLifecycleSpec ("the end of a planned stop") and StopTimesSpec guard against it and pass.

--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -164,9 +164,9 @@
         EventLog.write("node_stopping", "inFlight" to (proxy?.inFlight ?: 0))
         healthMonitor?.close()
         nodeDiscovery?.close()
-        proxy?.announceClose()
+        proxy?.announceClose(stopTimes.drainUntilMillis)
         serveUntil(stopTimes.serveUntilMillis)
-        val isAnnounced = control.leave(nowMillis() + LEAVE_MILLIS)
+        val isAnnounced = control.leave(stopTimes.announceUntilMillis)
         val cutOff = proxy?.drain(stopTimes.drainUntilMillis) ?: 0
         scheduler.shutdownNow()
         proxy?.close()
@@ -339,9 +339,6 @@
         /** Timeout for closing the connections of operators. */
         const val CLOSE_MILLIS = 500L
 
-        /** Time within which all nodes must stop sending new calls to a leaving target. */
-        const val LEAVE_MILLIS = 3_000L
-
         /** Uses the start time as incarnation, because a restarted process does not know its previous one. */
         fun selfRecord(
             settings: NodeSettings,
--- a/node/src/test/kotlin/dev/baobabhollow/node/StopTimesSpec.kt
+++ b/node/src/test/kotlin/dev/baobabhollow/node/StopTimesSpec.kt
@@ -21,6 +21,14 @@
                 times.serveUntilMillis shouldBeLessThan times.drainUntilMillis
             }
 
+            // Guards against a slow announcement during which calls are accepted that the end of the stop cuts off.
+            it("refuses new calls early enough for those accepted last, also when the announcement is slow") {
+                val times = StopTimes.of(LimitSettings(stopWithinSeconds = 6.0), 0)
+                times.announceUntilMillis - times.serveUntilMillis shouldBeInRange 400L..1_000L
+                val long = StopTimes.of(LimitSettings(drainMillis = 30_000), 0)
+                long.announceUntilMillis shouldBe 3_000
+            }
+
             it("drains at once if no platform probes the node") {
                 val times = StopTimes.of(LimitSettings(drainMillis = 700), 0)
                 times shouldBe StopTimes(0, 700)
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamCall.kt
@@ -119,6 +119,11 @@
         exchange?.onDownstreamWritability(isWritable)
     }
 
+    /** Ends the call with a final response, because the node stops. */
+    fun endOnStop() {
+        exchange?.onStopping()
+    }
+
     /** Ends the exchange without a response, because the connection has been or will be closed. */
     fun cancel() {
         dropBuffer()
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamHandler.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamHandler.kt
@@ -248,6 +248,12 @@
         context.flush()
     }
 
+    /** Ends all calls with a final response, which also closes the connection. Idle connections are closed at once. */
+    fun endOnStop() {
+        closeIfIdle()
+        calls.toList().forEach { it.endOnStop() }
+    }
+
     /** Closes the connection if it has no request in progress. Other connections close after their last response. */
     fun closeIfIdle() {
         if (calls.isEmpty() && waiting.isEmpty() && !isLingering && !isInputEnded) context.close()
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
@@ -65,6 +65,9 @@
         val caller = downstream.caller
         val deadline = (caller.deadlineMillis ?: maxDeadline).coerceAtMost(maxDeadline)
         if (now >= deadline) return refused(downstream, CallFailure.deadlinePassed(mayHaveRun = false))
+        if (node.mayOutlastStop(route, deadline)) {
+            return refused(downstream, CallFailure.notRun(FailureReason.DRAINING))
+        }
         if (HttpUtil.getContentLength(head, 0L) > maxBodyBytes(table)) {
             val status = HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE
             return refused(downstream, CallFailure.notRun(FailureReason.BODY_TOO_LARGE, status))
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/Exchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/Exchange.kt
@@ -15,6 +15,9 @@
     /** Called when the response can be written on or, with false, should not be. */
     fun onDownstreamWritability(isWritable: Boolean)
 
+    /** Ends the exchange with a final response, because the node stops. */
+    fun onStopping()
+
     /** Called when the caller has disconnected or has sent a malformed body. No response can be sent. */
     fun onDownstreamClosed()
 }
@@ -31,6 +34,8 @@
 
     override fun onDownstreamWritability(isWritable: Boolean) = Unit
 
+    override fun onStopping() = Unit
+
     override fun onDownstreamClosed() = Unit
 }
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
@@ -44,6 +44,10 @@
     var isClosing = false
         private set
 
+    /** Time at which the calls in flight end if the node stops. */
+    @Volatile
+    private var drainUntilMillis = Long.MAX_VALUE
+
     val memory = HeldMemory(settings.maxHeldBytes)
     val admission = Admission(settings.admission, self.target?.slots ?: 1)
     val outliers = OutlierDetector(settings.outliers)
@@ -137,10 +141,17 @@
         responseSizes.retain(table.routeIds)
     }
 
-    fun close() {
+    fun close(drainUntilMillis: Long) {
+        this.drainUntilMillis = drainUntilMillis
         isClosing = true
     }
 
+    /** True if a call with this [deadlineMillis] may still be in flight when the node stops, and may not be repeated. */
+    fun mayOutlastStop(
+        route: Route,
+        deadlineMillis: Long,
+    ) = !route.config.idempotent && deadlineMillis > drainUntilMillis
+
     fun drain() {
         isClosing = true
         isDraining = true
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/OwnerExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/OwnerExchange.kt
@@ -69,6 +69,9 @@
         val stated = left?.let { now + it } ?: headers.get(MeshHeaders.DEADLINE)?.toLongOrNull()
         val deadline = (stated ?: maxDeadline).coerceAtMost(maxDeadline)
         if (now >= deadline) return refused(downstream, CallFailure.deadlinePassed(mayHaveRun = false))
+        if (node.mayOutlastStop(route, deadline)) {
+            return refused(downstream, CallFailure.notRun(FailureReason.DRAINING))
+        }
         val callId = headers.get(MeshHeaders.CALL) ?: node.newCallId()
         if (isKeyRequest(head)) return respondNow(downstream) { respondWithKey(node, downstream) }
         headers.remove(MeshHeaders.ROUTE)
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
@@ -85,8 +85,11 @@
     /** Returns the call counts as callers saw them since the start. */
     fun burnCounts(): List<BurnCount> = recorder.burnCounts()
 
-    /** Adds `connection: close` to all further responses, so that callers disconnect. Calls are still served. */
-    fun announceClose() = node.close()
+    /**
+     * Adds `connection: close` to all further responses, so that callers disconnect. Calls are still served, except those
+     * that may not be repeated and may last longer than [drainUntilMillis] (epoch milliseconds), when the drain ends.
+     */
+    fun announceClose(drainUntilMillis: Long = Long.MAX_VALUE) = node.close(drainUntilMillis)
 
     /**
      * Refuses new calls as not run, and blocks until the calls in flight have ended or [deadlineMillis] (epoch
@@ -104,16 +107,19 @@
     override fun close() {
         callers.close()
         peers.close()
-        if (node.isDraining) closeIdleConnections()
+        if (node.isDraining) endConnections()
         group.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS).await(CLOSE_MILLIS * 2, TimeUnit.MILLISECONDS)
     }
 
-    /** Closes each connection on its own event loop, so that no response to a request that was read is cut off. */
-    private fun closeIdleConnections() {
+    /**
+     * Ends each connection on its own event loop, so that no response is cut off and the calls that are still in flight
+     * get one: a caller may repeat a call that has not run, and has to know it.
+     */
+    private fun endConnections() {
         connections.forEach { channel ->
-            channel.eventLoop().execute { channel.pipeline().get(DownstreamHandler::class.java)?.closeIfIdle() }
+            channel.eventLoop().execute { channel.pipeline().get(DownstreamHandler::class.java)?.endOnStop() }
         }
-        connections.newCloseFuture().await(CLOSE_IDLE_MILLIS, TimeUnit.MILLISECONDS)
+        connections.newCloseFuture().await(CLOSE_CONNECTIONS_MILLIS, TimeUnit.MILLISECONDS)
     }
 
     private fun listen(
@@ -165,6 +171,6 @@
         const val CLOSE_MILLIS = 1_000L
 
         /** Time for the last responses of a stop to be written. */
-        const val CLOSE_IDLE_MILLIS = 200L
+        const val CLOSE_CONNECTIONS_MILLIS = 200L
     }
 }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/RelayExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/RelayExchange.kt
@@ -54,6 +54,13 @@
         attempt?.setReading(isWritable)
     }
 
+    override fun onStopping() {
+        val mayHaveRun = attempt?.mayHaveRun == true
+        fail(
+            if (mayHaveRun) CallFailure.unknown(FailureReason.DRAINING) else CallFailure.notRun(FailureReason.DRAINING),
+        )
+    }
+
     override fun onDownstreamClosed() {
         if (isEnded) return
         cancelAttempt()
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/CallLifecycleSpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/CallLifecycleSpec.kt
@@ -69,6 +69,49 @@
             }
         }
 
+        // Guards against calls that are taken shortly before a stop and end with a closed connection.
+        describe("the end of a planned stop") {
+            it("gives each call in flight a final answer, and says of one that was not sent that it has not run") {
+                val pendingCalls = Signal<PendingCall>()
+                blockingTarget(pendingCalls).use { target ->
+                    val mesh = TestMesh(listOf(target.port), slots = 1)
+                    val running = connect(mesh.port)
+                    running.send("POST /orders/1 HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n")
+                    pendingCalls.await()
+                    val incomplete = connect(mesh.owners[0].callersPort)
+                    incomplete.send("POST /orders/2 HTTP/1.1\r\nhost: a\r\ncontent-length: 6\r\n\r\nabc")
+                    awaitUntil("both calls are open") { mesh.owners[0].inFlight == 2 }
+                    listOf(mesh.entry, mesh.owners[0]).forEach {
+                        it.drain(System.currentTimeMillis())
+                        it.close()
+                    }
+                    val unknown = running.read()
+                    unknown?.status shouldBe 502
+                    unknown?.outcome shouldBe "unknown"
+                    val notRun = incomplete.read()
+                    notRun?.status shouldBe 503
+                    notRun?.outcome shouldBe "not-run"
+                    mesh.close()
+                }
+            }
+
+            it("refuses calls that may not be repeated and may last longer, and serves all others") {
+                val runs = AtomicInteger()
+                ScriptedTarget.responding(runs) { respond("ok") }.use { target ->
+                    TestMesh(listOf(target.port)).use { mesh ->
+                        mesh.entry.announceClose(System.currentTimeMillis() + 5_000)
+                        val refused = call(mesh.port, "/orders/1", "POST")
+                        refused?.status shouldBe 503
+                        refused?.outcome shouldBe "not-run"
+                        val soon = System.currentTimeMillis() + 1_000
+                        call(mesh.port, "/orders/2", "POST", "x-baobabhollow-deadline: $soon\r\n")?.body shouldBe "ok"
+                        call(mesh.port, "/stock/1")?.body shouldBe "ok"
+                    }
+                }
+                runs.get() shouldBe 2
+            }
+        }
+
         describe("a caller that closes its connection") {
             it("ends the call at the target and frees the slot") {
                 val pendingCalls = Signal<PendingCall>()
