Read health responses with the client of the platform log

Operators of similar systems saw machines run out of memory on bytes without end in a response, and responses that broke off in their head taken for whole ones. Calls are bounded and checked here (EndlessResponseSpec, HeldMemorySpec, ResponseIntegritySpec), so the health probes were looked at.

Found: the probe of the own platform took a response that ended in the middle of its head for healthy (HealthProbeSpec "reads the status" failed on the code before). Its cases without end passed on the code before, which the JDK bounds. The probe of announced targets would have read 16 MB, close to half of a node's heap; no test showed that.

Change: both probes use the client of the platform log with a bound of 4 KiB and one deadline, which rejects a head that is incomplete. Health responses may still end with the connection, for which the client has a new limit setting.

ResponseIntegritySpec now breaks a response off at each byte of its head, with both protocols; the call fails as unknown. That passed at once, so nothing was changed for calls.

--- a/node/src/main/kotlin/dev/baobabhollow/node/HealthProbe.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/HealthProbe.kt
@@ -1,34 +1,58 @@
 package dev.baobabhollow.node
 
-import java.io.IOException
-import java.net.HttpURLConnection
-import java.net.URI
+import com.github.michaelbull.result.mapBoth
+import dev.baobabhollow.model.Endpoint
+import dev.baobabhollow.model.MonotonicClock
+import dev.baobabhollow.platformlog.LogClientLimits
+import dev.baobabhollow.platformlog.LogHttpClient
+import dev.baobabhollow.platformlog.LogResponse
+import io.netty.handler.codec.http.HttpMethod
 
 private const val OK = 200
 private const val UNAVAILABLE = 503
-private const val MAX_BODY_BYTES = 1_024
 private const val DRAINING_WORD = "draining"
+private const val CONTENT_TYPE = "application/octet-stream"
 
-/** Sends one request to the health endpoint of [target]. Blocks for about twice its timeout at most. */
-internal fun probeHealth(target: TargetSettings): HealthResponse {
-    val path = target.healthPath ?: return HealthResponse.HEALTHY
-    val connection = URI("http://${target.endpoint}$path").toURL().openConnection() as HttpURLConnection
-    connection.connectTimeout = target.healthTimeoutMillis.toInt()
-    connection.readTimeout = target.healthTimeoutMillis.toInt()
-    return try {
-        when (connection.responseCode) {
+/** Longest health response; targets state a status and a word or two. */
+private const val MAX_RESPONSE_BYTES = 4_096
+
+/** Returns a client for health requests to [target], which bounds the time and the size of a response. */
+internal fun healthClient(
+    target: Endpoint,
+    timeoutMillis: Long,
+    nowMillis: () -> Long = MonotonicClock(),
+): LogHttpClient {
+    val limits =
+        LogClientLimits(
+            connectTimeoutMillis = timeoutMillis,
+            responseTimeoutMillis = timeoutMillis,
+            maxResponseBytes = MAX_RESPONSE_BYTES,
+            allowsCloseDelimitedResponses = true,
+        )
+    return LogHttpClient(target, limits, nowMillis)
+}
+
+/** Asks the health endpoint of [target]. Not thread-safe. */
+internal class HealthProbe(
+    private val target: TargetSettings,
+) : AutoCloseable {
+    private val clock = MonotonicClock()
+    private val http = healthClient(target.endpoint, target.healthTimeoutMillis, clock)
+
+    /** Sends one request. Blocks for about twice the target's timeout at most. */
+    fun probe(): HealthResponse {
+        val path = target.healthPath ?: return HealthResponse.HEALTHY
+        val deadline = clock() + target.healthTimeoutMillis * 2
+        val response = http.call(HttpMethod.GET, path, ByteArray(0), CONTENT_TYPE, deadline)
+        return response.mapBoth(::read) { HealthResponse.FAILED }
+    }
+
+    override fun close() = http.close()
+
+    private fun read(response: LogResponse): HealthResponse =
+        when (response.status) {
             OK -> HealthResponse.HEALTHY
-            UNAVAILABLE -> if (reportsDraining(connection)) HealthResponse.DRAINING else HealthResponse.FAILED
+            UNAVAILABLE -> if (DRAINING_WORD in response.body) HealthResponse.DRAINING else HealthResponse.FAILED
             else -> HealthResponse.FAILED
         }
-    } catch (_: IOException) {
-        HealthResponse.FAILED
-    } finally {
-        connection.disconnect()
-    }
-}
-
-private fun reportsDraining(connection: HttpURLConnection): Boolean {
-    val body = connection.errorStream?.readNBytes(MAX_BODY_BYTES) ?: return false
-    return body.decodeToString().contains(DRAINING_WORD)
 }
--- a/node/src/main/kotlin/dev/baobabhollow/node/TargetDiscovery.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/TargetDiscovery.kt
@@ -2,7 +2,6 @@
 
 import com.github.michaelbull.result.fold
 import dev.baobabhollow.model.Endpoint
-import dev.baobabhollow.platformlog.LogClientLimits
 import dev.baobabhollow.platformlog.LogHttpClient
 import io.netty.handler.codec.http.HttpMethod
 import org.apache.logging.log4j.Level
@@ -37,7 +36,7 @@
 
     private fun run(path: String) {
         try {
-            LogHttpClient(endpoint, LIMITS, nowMillis).use { http ->
+            healthClient(endpoint, RESPONSE_MILLIS, nowMillis).use { http ->
                 repeat(ATTEMPTS) { attempt ->
                     if (attempt > 0) Thread.sleep(PAUSE_MILLIS)
                     if (!announcements.needsProbe || probe(http, path)) return
@@ -77,6 +76,5 @@
         const val ATTEMPTS = 2
         const val RESPONSE_MILLIS = 500L
         const val PAUSE_MILLIS = 200L
-        val LIMITS = LogClientLimits(connectTimeoutMillis = RESPONSE_MILLIS, responseTimeoutMillis = RESPONSE_MILLIS)
     }
 }
--- a/node/src/main/kotlin/dev/baobabhollow/node/TargetHealthMonitor.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/TargetHealthMonitor.kt
@@ -11,6 +11,7 @@
     private val target: TargetSettings,
     private val announce: (TargetStatus) -> Boolean,
 ) : AutoCloseable {
+    private val probe = HealthProbe(target)
     private val health = TargetHealth()
     private val answered = LongAdder()
     private val failed = LongAdder()
@@ -36,10 +37,11 @@
 
     override fun close() {
         thread.shutdownNow()
+        probe.close()
     }
 
     private fun check() {
-        val sample = HealthSample(probeHealth(target), answered.sumThenReset(), failed.sumThenReset())
+        val sample = HealthSample(probe.probe(), answered.sumThenReset(), failed.sumThenReset())
         val status = health.observe(sample)
         if (status == announced) return
         // Retried at the next check if the control plane's ring buffer was full.
--- a/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/ConnectionPool.kt
+++ b/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/ConnectionPool.kt
@@ -37,7 +37,7 @@
             .group(group)
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
-            .handler(Initializer(limits.maxResponseBytes))
+            .handler(Initializer(limits))
 
     init {
         limits.keepAliveSeconds?.let { bootstrap.keepAlive(it) }
@@ -113,10 +113,10 @@
     }
 
     private class Initializer(
-        private val maxResponseBytes: Int,
+        private val limits: LogClientLimits,
     ) : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
-            channel.pipeline().addLast(HttpClientCodec(), LogConnection(maxResponseBytes))
+            channel.pipeline().addLast(HttpClientCodec(), LogConnection(limits))
         }
     }
 
--- a/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/LogClientLimits.kt
+++ b/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/LogClientLimits.kt
@@ -13,4 +13,6 @@
     val maxConnections: Int = 8,
     /** Idle time in seconds before TCP keep-alive probes; two unanswered ones a second apart close the connection. */
     val keepAliveSeconds: Int? = null,
+    /** True if a response without a length is complete when the connection closes, also if it was truncated. */
+    val allowsCloseDelimitedResponses: Boolean = false,
 )
--- a/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/LogConnection.kt
+++ b/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/LogConnection.kt
@@ -38,7 +38,7 @@
 
 /** Runs exchanges on one connection, one at a time. The fields are confined to the event loop. */
 internal class LogConnection(
-    private val maxResponseBytes: Int,
+    private val limits: LogClientLimits,
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private var pending: ResponseFuture? = null
     private var head: HttpResponse? = null
@@ -75,7 +75,7 @@
             return fail(context.channel(), LogError.Malformed("the response does not state its length"))
         }
         if (message is HttpContent && !appendToBody(message)) {
-            return fail(context.channel(), LogError.Malformed("the response exceeds $maxResponseBytes bytes"))
+            return fail(context.channel(), LogError.Malformed("the response exceeds ${limits.maxResponseBytes} bytes"))
         }
         if (message is LastHttpContent) completeResponse()
     }
@@ -93,11 +93,12 @@
     private fun startResponse(response: HttpResponse): Boolean {
         head = response
         body.reset()
-        return HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+        val hasLength = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+        return hasLength || limits.allowsCloseDelimitedResponses
     }
 
     private fun appendToBody(content: HttpContent): Boolean {
-        if (body.size() + content.content().readableBytes() > maxResponseBytes) return false
+        if (body.size() + content.content().readableBytes() > limits.maxResponseBytes) return false
         body.write(ByteBufUtil.getBytes(content.content()))
         return true
     }
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/ResponseIntegritySpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/ResponseIntegritySpec.kt
@@ -109,6 +109,30 @@
                 }
             }
 
+            // Guards against a response that a target breaks off in its head and that reaches the caller as a whole one.
+            it("is an error when it ends in the middle of its head, also where bodies may end with the connection") {
+                val head = "HTTP/1.1 200 OK\r\nx-own: 1\r\ncontent-length: 3\r\nconnection: close\r\n\r\n"
+                val lenient =
+                    object : CallProtocol by MeshProtocol {
+                        override val allowsCloseDelimitedResponses = true
+                    }
+                for (protocol in listOf(MeshProtocol, lenient)) {
+                    for (cut in 1 until head.length) {
+                        ScriptedTarget { connection ->
+                            connection.read()
+                            connection.send(head.take(cut))
+                        }.use { target ->
+                            val settings = ProxySettings(LOOPBACK_ANY, protocol = protocol, eventLoops = 1)
+                            TestMesh(listOf(target.port), settings = settings).use { mesh ->
+                                val response = call(mesh.port, "/orders", "POST")
+                                response?.status shouldBe 502
+                                response?.outcome shouldBe "unknown"
+                            }
+                        }
+                    }
+                }
+            }
+
             it("does not reach another caller when it is duplicated") {
                 val runs = AtomicInteger()
                 withTarget({ connection ->
