Keep nothing of a finished request, and count trailers

Related paths of the memory of a node, found by reading: an idle connection kept the head of its last request, a connection to the log kept the memory of its longest response (up to 4 MB each), trailers of a held body were not counted, and the ports for announcements and readiness took bodies as long as the operators' port.

Change: an idle connection forgets its last call, each response of the log has a buffer of its own, trailers count with the objects of their fields (PendingBodySpec), and announcements may have 16 KiB. Only the trailers have a test.

--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -192,14 +192,14 @@
     private fun platformServers(): List<OperatorServer> {
         val readiness =
             settings.readiness?.let { endpoint ->
-                OperatorServer(endpoint, settings.limits.operatorBodyBytes, operatorGroup) { request ->
+                OperatorServer(endpoint, MAX_ANNOUNCEMENT_BYTES, operatorGroup) { request ->
                     CompletableFuture.completedFuture(handleReadiness(request))
                 }
             }
         val targets =
             announcements?.let { handler ->
                 val endpoint = checkNotNull(settings.announcedTarget).announcements
-                OperatorServer(endpoint, settings.limits.operatorBodyBytes, operatorGroup) { request ->
+                OperatorServer(endpoint, MAX_ANNOUNCEMENT_BYTES, operatorGroup) { request ->
                     CompletableFuture.completedFuture(handler.handle(request))
                 }
             }
@@ -336,6 +336,9 @@
         const val FAST_PUBLISH_MILLIS = 200L
         const val NOT_FOUND = 404
 
+        /** Announcements have a few hundred bytes, and readiness probes have no body. */
+        const val MAX_ANNOUNCEMENT_BYTES = 16_384
+
         /** Timeout for closing the connections of operators. */
         const val CLOSE_MILLIS = 500L
 
--- a/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/LogConnection.kt
+++ b/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/LogConnection.kt
@@ -42,7 +42,7 @@
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private var pending: ResponseFuture? = null
     private var head: HttpResponse? = null
-    private val body = ByteArrayOutputStream()
+    private var body = ByteArrayOutputStream()
 
     /** Sends [request] on [channel] and completes [response] with the result. Any failure closes the channel. */
     fun exchange(
@@ -128,7 +128,8 @@
         val response = pending
         pending = null
         head = null
-        body.reset()
+        // A new one, since an idle connection would keep the memory of its longest response.
+        body = ByteArrayOutputStream()
         response?.complete(result)
     }
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/Codecs.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/Codecs.kt
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.HttpConstants
 import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequestDecoder
@@ -91,7 +92,11 @@
 }
 
 /** Estimated memory of the objects of a header field, in bytes. */
-internal const val HEADER_FIELD_BYTES = 128L
+private const val HEADER_FIELD_BYTES = 128L
+
+/** Estimated memory of [headers], in bytes. */
+internal fun estimatedBytes(headers: HttpHeaders): Long =
+    headers.sumOf { HEADER_FIELD_BYTES + it.key.length + it.value.length }
 
 /** Encodes responses; [method] is that of the current request, because responses to HEAD have no body. */
 internal class CallerResponseEncoder : HttpResponseEncoder() {
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamCall.kt
@@ -62,7 +62,7 @@
     var refusal: CallFailure? = null
 
     /** Estimated memory of the head and of the objects of the call, in bytes. */
-    val headBytes: Long = CALL_BYTES + head.uri().length + head.headers().sumOf { bytesOf(it) }
+    val headBytes: Long = CALL_BYTES + head.uri().length + estimatedBytes(head.headers())
 
     val loop: EventLoop get() = connection.loop
 
@@ -223,7 +223,5 @@
 
         /** Estimate of the objects of a call on a 64-bit JVM: exchange, attempts, timers. */
         const val CALL_BYTES = 2_048L
-
-        fun bytesOf(field: Map.Entry<String, String>) = HEADER_FIELD_BYTES + field.key.length + field.value.length
     }
 }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamHandler.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamHandler.kt
@@ -205,6 +205,8 @@
         written: ChannelFuture,
     ) {
         calls.removeFirst()
+        // An idle connection keeps nothing of its last request.
+        if (call.isKeptAlive && isLast(call)) lastCall = null
         // A response counts as in flight until it is written, so that a stop does not cut it off.
         written.addListener { node.exchangeEnded(call.headBytes) }
         when {
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/PendingBody.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/PendingBody.kt
@@ -18,6 +18,7 @@
     private val account = HeldAccount(memory)
     private val segments = ArrayDeque<ByteBuf>(2)
     private var trailers: HttpHeaders? = null
+    private var trailerBytes = 0L
 
     /** True if the last segment has room and only this queue refers to it. */
     private var isLastOpen = false
@@ -41,12 +42,15 @@
         if (content is LastHttpContent) {
             isWhole = true
             trailers = content.trailingHeaders().takeUnless { it.isEmpty }
+            trailerBytes = trailers?.let(::estimatedBytes) ?: 0
         }
         append(content.content())
         content.release()
-        account.set(segmentBytes)
+        updateAccount()
     }
 
+    private fun updateAccount() = account.set(segmentBytes + trailerBytes)
+
     private fun append(part: ByteBuf) {
         if (part.readableBytes() >= SEGMENT_BYTES / 2 && isCompact(part)) {
             segments.addLast(part.retain())
@@ -83,14 +87,16 @@
             val segment = segments.removeFirstOrNull()
             bytes -= segment?.readableBytes() ?: 0
             segmentBytes -= segment?.let(::memoryOf) ?: 0
-            account.set(segmentBytes)
-            send(nextPart(segment))
+            val part = nextPart(segment)
+            updateAccount()
+            send(part)
         }
     }
 
     private fun nextPart(segment: ByteBuf?): HttpContent {
         if (!isWhole || segments.isNotEmpty()) return DefaultHttpContent(checkNotNull(segment))
         isWhole = false
+        trailerBytes = 0
         return lastPart(segment)
     }
 
@@ -121,7 +127,8 @@
         isWhole = false
         bytes = 0
         segmentBytes = 0
-        account.set(0)
+        trailerBytes = 0
+        updateAccount()
     }
 
     private companion object {
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/PendingBodySpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/PendingBodySpec.kt
@@ -61,6 +61,19 @@
                 readBuffers.forEach { it.refCnt() shouldBe 1 }
             }
 
+            // Guards against many trailers, which are no bytes of the body, that are held without a limit.
+            it("counts what it holds, also for trailers") {
+                val body = PendingBody(memory)
+                body.add(DefaultHttpContent(Unpooled.copiedBuffer("a".repeat(100), Charsets.US_ASCII)))
+                memory.bytes shouldBe 100
+                val last = DefaultLastHttpContent()
+                repeat(50) { last.trailingHeaders().add("t$it", "v") }
+                body.add(last)
+                (memory.bytes > 50 * 128) shouldBe true
+                body.clear()
+                memory.bytes shouldBe 0
+            }
+
             it("is not copied when its parts fill their buffers") {
                 val body = PendingBody(memory)
                 val part = Unpooled.buffer(READ_BUFFER_BYTES).writeZero(READ_BUFFER_BYTES)
