Confirm a heartbeat also by a health response without a load

Targets of some services do not report their load. Their health responses were read as none, so since the first heartbeat has to be confirmed, each start of their node would have gone without its target for four heartbeats. Found by reading; no site in force has such a service.

The identity is enough to confirm a heartbeat.

--- a/node/src/main/kotlin/dev/baobabhollow/node/AnnouncedTarget.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/AnnouncedTarget.kt
@@ -37,7 +37,8 @@
 /** The identity of a target as its health response states it. The response does not contain the release. */
 data class DiscoveredTarget(
     val instance: String,
-    val slots: Int,
+    /** Null if the response does not state them; the target is then used only once it announces itself. */
+    val slots: Int?,
 )
 
 /** Effect of a message from a target. */
@@ -90,11 +91,9 @@
     val record: TargetRecord?
         get() {
             val known = last
-            val probed = discovered
-            return when {
-                known != null -> recordOf(known.service, known.release, known.slots, known.instance)
-                probed != null -> recordOf(service, UNKNOWN_RELEASE, probed.slots, probed.instance)
-                else -> null
+            if (known != null) return recordOf(known.service, known.release, known.slots, known.instance)
+            return discovered?.let { probed ->
+                probed.slots?.let { recordOf(service, UNKNOWN_RELEASE, it, probed.instance) }
             }
         }
 
@@ -128,9 +127,10 @@
         val next = candidate
         if (!isConfirmed && next?.instance == target.instance) return confirm(next, nowMillis)
         if (isConfirmed || hasAnnounced) return AnnouncementResult.IGNORED
+        val before = record
         discovered = target
         lastHeardMillis = nowMillis
-        return AnnouncementResult.CHANGED
+        return if (record == before) AnnouncementResult.CONFIRMED else AnnouncementResult.CHANGED
     }
 
     /** Marks the target as down after too long a silence. Returns true if this call changed its status. */
--- a/node/src/main/kotlin/dev/baobabhollow/node/PlatformAdapter.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/PlatformAdapter.kt
@@ -28,7 +28,7 @@
     /** Parses an announcement of a target, or returns the reason why it can't be parsed. */
     fun readAnnouncement(request: OperatorRequest): Result<TargetMessage, String>
 
-    /** Parses a target's health response. Returns null if the target accepts no calls or its identity is incomplete. */
+    /** Parses a target's health response. Returns null if the target accepts no calls or does not name itself. */
     fun readHealth(response: LogResponse): DiscoveredTarget?
 }
 
--- a/node/src/test/kotlin/dev/baobabhollow/node/AnnouncedTargetSpec.kt
+++ b/node/src/test/kotlin/dev/baobabhollow/node/AnnouncedTargetSpec.kt
@@ -105,6 +105,16 @@
                 target.onMessage(heartbeat(sequence = 7), 2_000) shouldBe AnnouncementResult.IGNORED
             }
 
+            // Guards against calls to a target that does not report how many it accepts, and against a heartbeat that is
+            // not confirmed for the same reason.
+            it("is announced only by its heartbeat if its health path does not state the slots") {
+                val target = newTarget()
+                target.onProbeResponse(DiscoveredTarget("i-1", null), 0) shouldBe AnnouncementResult.CONFIRMED
+                target.record shouldBe null
+                target.onMessage(heartbeat(), 10) shouldBe AnnouncementResult.CHANGED
+                target.record?.slots shouldBe 12
+            }
+
             // Guards against a target that is never used because its health path fails while it serves.
             it("is announced once its heartbeats have continued for longer than one is delayed") {
                 val target = newTarget()
