--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/HeldMemorySpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/HeldMemorySpec.kt
@@ -43,6 +43,31 @@
                 mesh.entry.heldBytes == 0L && mesh.owners.all { it.heldBytes == 0L }
             }
 
+        describe("a node that runs short of memory") {
+            // Guards against calls that are refused while copies for retries take the room, and against calls without a
+            // body that are refused because of uploads.
+            it("gives up long copies first, then calls with a body, short copies, and at last all calls") {
+                val memory = HeldMemory(1_200_000)
+                memory.add(399_999)
+                memory.allowsCopy(100_000) shouldBe true
+                memory.add(1)
+                memory.allowsCopy(100_000) shouldBe false
+                memory.allowsCopy(300) shouldBe true
+                memory.allowsCall(65_536) shouldBe true
+                memory.add(900_000 - 400_000 - 65_536)
+                memory.allowsCall(65_536) shouldBe false
+                memory.allowsCopy(300) shouldBe true
+                memory.isScarce shouldBe false
+                memory.add(65_536)
+                memory.isScarce shouldBe true
+                memory.allowsCopy(300) shouldBe false
+                memory.allowsCall(0) shouldBe true
+                memory.add(300_000)
+                memory.isFull shouldBe true
+                memory.allowsCall(0) shouldBe false
+            }
+        }
+
         describe("the memory that a node holds in all") {
             it("is bounded during a burst of uploads, each of which gets an answer") {
                 val target =
