Make the accounting of memory and the confirmation of targets cheaper

Cause, by reading: each confirmation of a heartbeat started a client with an event loop of its own; each call had two queues more and converted all names and values of its headers to strings.

Change: the probe shares the event loop of the operators' port. What holds a response back is created only for calls that wait (HeldResponse), the estimate of headers converts nothing, and empty parts are not queued.

--- a/node/src/main/kotlin/dev/baobabhollow/node/HealthProbe.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/HealthProbe.kt
@@ -6,6 +6,7 @@
 import dev.baobabhollow.platformlog.LogClientLimits
 import dev.baobabhollow.platformlog.LogHttpClient
 import dev.baobabhollow.platformlog.LogResponse
+import io.netty.channel.IoEventLoopGroup
 import io.netty.handler.codec.http.HttpMethod
 
 private const val OK = 200
@@ -20,7 +21,8 @@
 internal fun healthClient(
     target: Endpoint,
     timeoutMillis: Long,
-    nowMillis: () -> Long = MonotonicClock(),
+    nowMillis: () -> Long,
+    sharedGroup: IoEventLoopGroup? = null,
 ): LogHttpClient {
     val limits =
         LogClientLimits(
@@ -29,7 +31,7 @@
             maxResponseBytes = MAX_RESPONSE_BYTES,
             allowsCloseDelimitedResponses = true,
         )
-    return LogHttpClient(target, limits, nowMillis)
+    return LogHttpClient(target, limits, nowMillis, sharedGroup)
 }
 
 /** Asks the health endpoint of [target]. Not thread-safe. */
--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -85,7 +85,7 @@
         }
     private val targetDiscovery =
         announcements?.let {
-            TargetDiscovery(checkNotNull(settings.announcedTarget).endpoint, adapter, it, nowMillis)
+            TargetDiscovery(checkNotNull(settings.announcedTarget).endpoint, adapter, it, nowMillis, operatorGroup)
         }
     private val platformServers = platformServers()
     private val nodeDiscovery =
--- a/node/src/main/kotlin/dev/baobabhollow/node/TargetDiscovery.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/TargetDiscovery.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.fold
 import dev.baobabhollow.model.Endpoint
 import dev.baobabhollow.platformlog.LogHttpClient
+import io.netty.channel.IoEventLoopGroup
 import io.netty.handler.codec.http.HttpMethod
 import org.apache.logging.log4j.Level
 import java.util.concurrent.atomic.AtomicBoolean
@@ -18,6 +19,7 @@
     private val adapter: PlatformAdapter,
     private val announcements: AnnouncementHandler,
     private val nowMillis: () -> Long,
+    private val group: IoEventLoopGroup,
 ) {
     private val isProbing = AtomicBoolean()
     private val healthPath = AtomicReference<String>()
@@ -36,7 +38,7 @@
 
     private fun run(path: String) {
         try {
-            healthClient(endpoint, RESPONSE_MILLIS, nowMillis).use { http ->
+            healthClient(endpoint, RESPONSE_MILLIS, nowMillis, group).use { http ->
                 repeat(ATTEMPTS) { attempt ->
                     if (attempt > 0) Thread.sleep(PAUSE_MILLIS)
                     if (!announcements.needsProbe || probe(http, path)) return
--- a/node/src/test/kotlin/dev/baobabhollow/node/TargetConfirmationSpec.kt
+++ b/node/src/test/kotlin/dev/baobabhollow/node/TargetConfirmationSpec.kt
@@ -11,8 +11,11 @@
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
 import java.net.InetAddress
 import java.net.ServerSocket
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.concurrent.thread
@@ -75,12 +78,13 @@
                             override fun readHealth(response: LogResponse) =
                                 DiscoveredTarget("i-1", null).takeIf { response.status == 200 }
                         }
+                    val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
                     val announced = AtomicReference<TargetRecord>()
                     val discovery = AtomicReference<TargetDiscovery>()
                     val settings = AnnouncedTargetSettings(standIn.endpoint, SERVICE, standIn.endpoint)
                     val handler =
                         AnnouncementHandler(settings, adapter, clock, announced::set) { discovery.get().probeSoon() }
-                    discovery.set(TargetDiscovery(standIn.endpoint, adapter, handler, clock))
+                    discovery.set(TargetDiscovery(standIn.endpoint, adapter, handler, clock, group))
                     val heartbeat = OperatorRequest("POST", "/", "")
                     handler.handle(heartbeat).status shouldBe 200
                     announced.get() shouldBe null
@@ -91,6 +95,7 @@
                     handler.handle(heartbeat).status shouldBe 200
                     eventually(5.seconds) { announced.get()?.instance shouldBe "i-1" }
                     adapter.close()
+                    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
                 }
             }
         }
--- a/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/ConnectionPool.kt
+++ b/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/ConnectionPool.kt
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.IoEventLoopGroup
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import io.netty.channel.socket.nio.NioSocketChannel
@@ -27,8 +28,11 @@
 internal class ConnectionPool(
     endpoint: Endpoint,
     private val limits: LogClientLimits,
+    private val sharedGroup: IoEventLoopGroup?,
 ) : AutoCloseable {
-    private val group = MultiThreadIoEventLoopGroup(1, DefaultThreadFactory("platform-log"), NioIoHandler.newFactory())
+    private val group =
+        sharedGroup
+            ?: MultiThreadIoEventLoopGroup(1, DefaultThreadFactory("platform-log"), NioIoHandler.newFactory())
     private val address = addressOf(endpoint)
     private val idle = ConcurrentLinkedDeque<Channel>()
     private val permits = Semaphore(limits.maxConnections)
@@ -78,6 +82,8 @@
 
     override fun close() {
         closed = true
+        idle.forEach { it.close() }
+        if (sharedGroup != null) return
         group.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS).awaitUninterruptibly(CLOSE_MILLIS)
     }
 
--- a/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/LogHttpClient.kt
+++ b/platform-log/src/main/kotlin/dev/baobabhollow/platformlog/LogHttpClient.kt
@@ -18,6 +18,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.IoEventLoopGroup
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
@@ -30,14 +31,16 @@
 
 /**
  * HTTP client of the platform at [endpoint], whose host must be an IP address. Thread-safe: concurrent calls use
- * different connections, and a connection whose exchange did not complete is closed.
+ * different connections, and a connection whose exchange did not complete is closed. Clients can share one [sharedGroup],
+ * which its owner shuts down; calls must not be made on its threads.
  */
 class LogHttpClient(
     private val endpoint: Endpoint,
     limits: LogClientLimits = LogClientLimits(),
     private val nowMillis: () -> Long = MonotonicClock(),
+    sharedGroup: IoEventLoopGroup? = null,
 ) : AutoCloseable {
-    private val pool = ConnectionPool(endpoint, limits)
+    private val pool = ConnectionPool(endpoint, limits, sharedGroup)
 
     /** Closes all connections. Calls in progress fail. */
     override fun close() = pool.close()
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/Codecs.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/Codecs.kt
@@ -95,8 +95,12 @@
 private const val HEADER_FIELD_BYTES = 128L
 
 /** Estimated memory of [headers], in bytes. */
-internal fun estimatedBytes(headers: HttpHeaders): Long =
-    headers.sumOf { HEADER_FIELD_BYTES + it.key.length + it.value.length }
+internal fun estimatedBytes(headers: HttpHeaders): Long {
+    var bytes = 0L
+    // The plain iterator would convert each name and value to a string.
+    for (field in headers.iteratorCharSequence()) bytes += HEADER_FIELD_BYTES + field.key.length + field.value.length
+    return bytes
+}
 
 /** Encodes responses; [method] is that of the current request, because responses to HEAD have no body. */
 internal class CallerResponseEncoder : HttpResponseEncoder() {
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamCall.kt
@@ -10,7 +10,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
-import io.netty.util.ReferenceCountUtil
 
 /**
  * One request of a downstream connection and its response. The response is written once those to all earlier requests
@@ -51,12 +50,8 @@
     private var isResponseStarted = false
     private var isEnded = false
 
-    /** Heads of a response that cannot be written yet, and its body. */
-    private val bufferedHeads = ArrayDeque<HttpResponse>(0)
-    private val bufferedBody = PendingBody(node.memory)
-
-    /** Room for a response that has to be held back. */
-    private val reserved = HeldAccount(node.memory)
+    /** The response, until those to all earlier requests are complete. */
+    private var held: HeldResponse? = null
 
     /** Refusal of a request that was read and could not be held, or null. */
     var refusal: CallFailure? = null
@@ -68,14 +63,7 @@
 
     /** False while no more of the response should be read from the target. */
     val isWritable: Boolean
-        get() = if (isFirst) connection.isWritable else mayBuffer()
-
-    private fun mayBuffer() = bufferedBody.bytes < node.settings.maxBufferedResponseBytes
-
-    private fun reserve() {
-        val unused = node.settings.maxBufferedResponseBytes - bufferedBody.bytes
-        reserved.set(if (isFirst || isEnded) 0L else unused.coerceAtLeast(0L))
-    }
+        get() = if (isFirst) connection.isWritable else held?.hasRoom != false
 
     /** False while no more of the request body should be read from the caller. */
     val acceptsBody: Boolean get() = isRequestDone || exchange?.isWritable != false
@@ -83,7 +71,7 @@
     /** Starts the exchange. It may end at once. */
     fun open(port: CallPort) {
         exchange = EndedExchange
-        reserve()
+        if (!isFirst) held = HeldResponse(node.memory, node.settings.maxBufferedResponseBytes)
         val opened =
             refusal?.let { failure -> respondNow(this) { writeFailureResponse(failure) } } ?: port.open(this, head)
         if (!isEnded) exchange = opened
@@ -128,7 +116,6 @@
     fun cancel() {
         dropBuffer()
         isEnded = true
-        reserve()
         val current = exchange
         exchange = null
         current?.onDownstreamClosed()
@@ -137,10 +124,9 @@
     /** Writes what is buffered, and writes all further parts at once. */
     fun promote() {
         isFirst = true
-        reserve()
-        if (bufferedHeads.isEmpty()) return
-        while (bufferedHeads.isNotEmpty()) emit(bufferedHeads.removeFirst())
-        bufferedBody.drain(::emit)
+        val response = held ?: return
+        held = null
+        if (!response.passTo(::emit)) return
         flush()
         onDownstreamWritability(isWritable)
     }
@@ -201,8 +187,7 @@
     }
 
     private fun buffer(part: HttpObject) {
-        if (part is HttpResponse) bufferedHeads.addLast(part) else bufferedBody.add(part as HttpContent)
-        reserve()
+        checkNotNull(held) { "a response before its request was opened" }.add(part)
         if (!isWritable) exchange?.onDownstreamWritability(false)
     }
 
@@ -213,9 +198,7 @@
     }
 
     private fun dropBuffer() {
-        bufferedHeads.forEach { ReferenceCountUtil.release(it) }
-        bufferedHeads.clear()
-        bufferedBody.clear()
+        held?.clear()
     }
 
     private companion object {
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/PendingBody.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/PendingBody.kt
@@ -44,7 +44,7 @@
             trailers = content.trailingHeaders().takeUnless { it.isEmpty }
             trailerBytes = trailers?.let(::estimatedBytes) ?: 0
         }
-        append(content.content())
+        if (content.content().isReadable) append(content.content())
         content.release()
         updateAccount()
     }
@@ -79,7 +79,10 @@
     private fun isCompact(part: ByteBuf) = memoryOf(part) <= part.readableBytes() * 2
 
     /** Bytes of the buffer that [part] belongs to. */
-    private fun memoryOf(part: ByteBuf): Int = generateSequence(part) { it.unwrap() }.last().capacity()
+    private fun memoryOf(part: ByteBuf): Int {
+        var whole = part
+        while (true) whole = whole.unwrap() ?: return whole.capacity()
+    }
 
     /** Passes all parts to [send], which takes ownership of their buffers. */
     fun drain(send: (HttpContent) -> Unit) {
