Wait for both requests in the spec of a caller that disconnects

Cause: the spec waited for the second request only, and then closed the caller's connection. The first one has a connection of its own to the target, and under load arrives after the second, or not any more. The spec waits for both now and checks the same list, so it is as strict as before.

--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/PipelinedRequestsSpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/PipelinedRequestsSpec.kt
@@ -186,6 +186,8 @@
                 withHeldTarget(ProxySettings(LOOPBACK_ANY, maxPipelinedCalls = 2)) { target, mesh ->
                     connect(mesh.port).use { caller ->
                         repeat(5) { caller.send(get("/stock/$it")) }
+                        // Both use connections of their own, so either may arrive first.
+                        target.await("/stock/0")
                         target.await("/stock/1")
                     }
                     awaitUntil("the calls have ended") { mesh.entry.inFlight == 0 && mesh.owners[0].inFlight == 0 }
