End the wait for a slot of a call that is refused for lack of memory

Found by reading the change once more: a call that waits for a slot while the rest of its long body arrives, and is refused because memory is full, stayed in the queue. It would have got the slot after its end and never released it.

The refusal now ends the wait as a cancelled call does, by the same function. No test shows the leak; HeldMemorySpec, CallLifecycleSpec, AtMostOnceSpec and RetriedCallSpec pass.

--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
@@ -65,6 +65,8 @@
     private fun collect(content: HttpContent) {
         if (content.content().isReadable && node.memory.isFull) {
             content.release()
+            // A call that waits for a slot would get it after its end, and never release it.
+            if (!isSlotHeld) ticket?.let(::endTicket)
             return finish(CallFailure.memoryLimit())
         }
         pending.add(content)
@@ -195,7 +197,7 @@
         pending.clear()
         val call = upstream
         if (call == null) {
-            ticket?.let { node.admission.end(it, node.nowMicros(), node.nowMillis(), isMeasured = false) }
+            ticket?.let(::endTicket)
             return
         }
         key?.fail(call.mayHaveRun)
@@ -295,6 +297,10 @@
         node.recorder.recordTarget(route, release, result, node.nowMicros() - startMicros)
     }
 
+    private fun endTicket(waiting: Ticket) {
+        node.admission.end(waiting, node.nowMicros(), node.nowMillis(), isMeasured = false)
+    }
+
     private fun freeSlot(isMeasured: Boolean) {
         val held = ticket ?: return
         if (!isSlotHeld) return
