--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
@@ -39,7 +39,7 @@
     claims: KeyClaims,
     metrics: ProxyMetrics,
 ) : AutoCloseable {
-    private val node = NodeCore(settings, self, tables, targetEndpoint, nowMillis, recorder, claims, metrics)
+    internal val node = NodeCore(settings, self, tables, targetEndpoint, nowMillis, recorder, claims, metrics)
     private val group =
         MultiThreadIoEventLoopGroup(settings.eventLoops, DefaultThreadFactory("proxy"), NioIoHandler.newFactory())
     private val connections: ChannelGroup = DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true)
