Do not count a refusal for lack of memory as an error of the release

Callers would have seen a good release taken back: while a call waits for a connection to its target and the node's memory is full, the node refuses the call, and counted that as an error of the target, which the judges of moves read. Found by reading.

Only failures that concern the target are counted now. That leaves out the node's own limits: memory, and the connections that its target allows. What the entry nodes' outlier detection takes for neutral is the same set.

MemoryRefusalSpec "does not count as an error of its target's release" failed before (one call, one error) and passes.

--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
@@ -1,5 +1,6 @@
 package dev.baobabhollow.proxy
 
+import dev.baobabhollow.calls.CallHealth
 import dev.baobabhollow.calls.Refusal
 import dev.baobabhollow.calls.Route
 import dev.baobabhollow.calls.SlotRequest
@@ -285,7 +286,8 @@
 
     override fun onFailure(failure: CallFailure) {
         isEnded = true
-        record(TargetResult.ERROR)
+        // The other failures come from this node's own limits, and say nothing about the release.
+        if (failure.reason.health != CallHealth.NEUTRAL) record(TargetResult.ERROR)
         key?.fail(failure.outcome == CallOutcome.UNKNOWN)
         node.logRefusal(callId, route, failure, deadlineMillis - node.nowMillis())
         if (!isDetached) listener.onFailure(failure)
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/MemoryRefusalSpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/MemoryRefusalSpec.kt
@@ -87,5 +87,18 @@
                     node.admission.inUse shouldBe 0
                 }
             }
+
+            // Guards against a good release that is taken back because its node ran short of memory.
+            it("does not count as an error of its target's release") {
+                withUpload { node, _, call, listener ->
+                    call.body(part(node.settings.bodyBufferBytes))
+                    node.admission.inUse shouldBe 1
+                    node.memory.add(LIMIT)
+                    call.body(part(1))
+                    listener.failures.map { it.reason } shouldBe listOf(FailureReason.MEMORY_LIMIT)
+                    node.admission.inUse shouldBe 0
+                    node.recorder.drainOutcomes(node.self, node.nowMillis()) shouldBe emptyList()
+                }
+            }
         }
     })
