Keep the connection of a waiting request that is refused for lack of memory

What callers saw: a pipelined request with a body that was read while memory was full got its refusal with "connection: close", and the requests behind it were executed all the same, their responses following on the closing connection. Callers send such requests again, so those that may not be repeated would have run twice.

Cause: the last part of the body was dropped with its bytes, so the request never counted as complete, and the connection was closed after its response as for an unfinished upload. Found by reading.

A discarded end now completes its request. MemoryRefusalSpec "keeps the connection if its whole request was read while it waited for its turn" failed before (connection: close) and passes, with PipelinedRequestsSpec, HeldMemorySpec, CallLifecycleSpec and BadRequestSpec (44 tests).

--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamCall.kt
@@ -99,6 +99,11 @@
         }
     }
 
+    /** Called when the end of the request has been received and its body was discarded. */
+    fun onRequestDiscarded() {
+        isRequestDone = true
+    }
+
     fun onRequestReadComplete() {
         exchange?.onRequestReadComplete()
     }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamHandler.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamHandler.kt
@@ -341,25 +341,21 @@
 
     /** Receives a part of the body and takes ownership of its buffer. */
     fun receive(content: HttpContent) {
-        when {
-            content.decoderResult().isFailure -> {
-                malformed = content
-            }
-
-            content.content().isReadable && memory.isFull -> {
-                call.refusal = CallFailure.memoryLimit()
-                body.clear()
-                content.release()
-            }
-
-            call.refusal != null && content !is LastHttpContent -> {
-                content.release()
-            }
-
-            else -> {
-                body.add(content)
-            }
+        if (content.decoderResult().isFailure) {
+            malformed = content
+            return
+        }
+        if (content.content().isReadable && memory.isFull) {
+            call.refusal = CallFailure.memoryLimit()
+            body.clear()
         }
+        if (call.refusal == null) body.add(content) else discard(content)
+    }
+
+    private fun discard(content: HttpContent) {
+        content.release()
+        // The refusal need not close the connection, and the requests behind this one have their turn.
+        if (content is LastHttpContent) call.onRequestDiscarded()
     }
 
     /** Passes the body to [send], which takes ownership of its buffers. */
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/MemoryRefusalSpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/MemoryRefusalSpec.kt
@@ -100,5 +100,37 @@
                     node.recorder.drainOutcomes(node.self, node.nowMillis()) shouldBe emptyList()
                 }
             }
+
+            // Guards against requests that run behind a response that closes their connection, so that callers repeat them.
+            it("keeps the connection if its whole request was read while it waited for its turn") {
+                val started = Signal<Unit>()
+                val release = Signal<Unit>()
+                val target =
+                    ScriptedTarget.responding {
+                        if (it.path == "/orders/slow") {
+                            started.send(Unit)
+                            release.await()
+                        }
+                        respond("ok")
+                    }
+                TestMesh(listOf(target.port), settings = settings).use { mesh ->
+                    val caller = connect(mesh.port)
+                    caller.send("POST /orders/slow HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n")
+                    started.await()
+                    val memory = mesh.entry.node.memory
+                    memory.add(LIMIT)
+                    val refused = "POST /drawings/1 HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nbody"
+                    caller.send(refused + "GET /stock/1 HTTP/1.1\r\nhost: a\r\n\r\n")
+                    awaitUntil("all requests are read") { mesh.entry.inFlight == 3 }
+                    memory.add(-LIMIT)
+                    release.send(Unit)
+                    caller.read()?.body shouldBe "ok"
+                    val answer = caller.read()
+                    answer?.reason shouldBe "memory-limit"
+                    answer?.headers?.get("connection") shouldBe null
+                    caller.read()?.body shouldBe "ok"
+                }
+                target.close()
+            }
         }
     })
