Bound the connections that callers keep open

What callers saw: with about 13,000 idle connections a node ended with OutOfMemoryError, and all requests at it were lost. The limit of file descriptors here is 20,000, so it does not come first. A real node with deploy/node.jvmoptions, one client: it ended at 13,056 and 13,026 connections, in 2 of 2 runs.

Cause: the sum of what calls hold is bounded since, but an idle connection counted nothing, and its handlers take 2.6 KB of a heap of 40 MB.

Change: each event loop keeps its callers' idle connections in the order of their last use, and closes the longest idle one when there are more than maxConnections, by default what a third of the heap holds (about 4,300). Connections in use are kept, as are those of entry nodes, which could not tell whether a request on its way at the close has run; they count, though. Each close is logged (connection_closed, reason connection-limit), and the gauge open_connections shows the number.

--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -104,6 +104,7 @@
                 ?: 0
         }
         metrics.gauge("held_bytes", "Memory that calls and connections hold, in bytes") { proxy?.heldBytes ?: 0L }
+        metrics.gauge("open_connections", "Open connections of callers and entry nodes") { proxy?.openConnections ?: 0 }
         logClaims?.let { metrics.claims(it.counters) }
     }
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamHandler.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamHandler.kt
@@ -28,6 +28,9 @@
      * one of those closes the connection, callers send the later requests again, whether they have been executed or not.
      */
     fun mayOverlap(head: HttpRequest): Boolean
+
+    /** True if idle connections may be closed to make room for others. */
+    val mayCloseIdle: Boolean
 }
 
 /** Serves the requests of one downstream connection, and returns the responses in the order of the requests. */
@@ -39,6 +42,7 @@
     private val port: CallPort,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
+    private lateinit var openConnections: OpenConnections<DownstreamHandler>
 
     /** Opened calls in the order of their requests. The response to the first one can be written. */
     private val calls = ArrayDeque<DownstreamCall>(1)
@@ -70,6 +74,12 @@
         context = ctx
     }
 
+    override fun channelActive(ctx: ChannelHandlerContext) {
+        openConnections = node.pools(loop).callers
+        openConnections.opened(this, isIdle = port.mayCloseIdle)
+        ctx.fireChannelActive()
+    }
+
     override fun channelRead(
         ctx: ChannelHandlerContext,
         message: Any,
@@ -98,6 +108,7 @@
         val caller = port.protocol.readCallerMetadata(head.headers(), node.nowMillis())
         val call = DownstreamCall(this, node, port.protocol, head, caller)
         lastCall = call
+        openConnections.busy(this)
         isEndToSkip = call.hasNoBody
         // Counted from here on, so that draining waits for requests that are not opened yet too.
         node.exchangeStarted(call.headBytes)
@@ -258,9 +269,11 @@
 
     /** Closes the connection if it has no request in progress. Other connections close after their last response. */
     fun closeIfIdle() {
-        if (calls.isEmpty() && waiting.isEmpty() && !isLingering && !isInputEnded) context.close()
+        if (isIdle()) context.close()
     }
 
+    private fun isIdle() = calls.isEmpty() && waiting.isEmpty() && !isLingering && !isInputEnded
+
     /** Promotes the first call, and opens the waiting ones that may be opened. */
     private fun processWaiting() {
         if (isProcessing) return
@@ -271,6 +284,7 @@
         isProcessing = false
         flushRequests()
         updateReading()
+        if (port.mayCloseIdle && isIdle()) openConnections.idle(this)
     }
 
     private fun promoteFirst(): Boolean {
@@ -297,6 +311,7 @@
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
         isInputEnded = true
+        openConnections.closed(this)
         cancelAll()
     }
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
@@ -17,6 +17,7 @@
     private val node: NodeCore,
 ) : CallPort {
     override val protocol: CallProtocol get() = node.settings.protocol
+    override val mayCloseIdle get() = true
 
     override fun mayOverlap(head: HttpRequest): Boolean {
         if (requestError(head) != null || isKeyRequest(head)) return false
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
@@ -92,7 +92,13 @@
                     memory,
                 )
             }
-        return LoopPools(OwnerPools(loop, settings, nowMillis, isLagging, memory), target, lag)
+        val owners = OwnerPools(loop, settings, nowMillis, isLagging, memory)
+        return LoopPools(owners, target, lag, OpenConnections(settings.maxConnectionsPerLoop, ::closeForRoom))
+    }
+
+    private fun closeForRoom(connection: DownstreamHandler) {
+        callLog.write { "event=connection_closed reason=connection-limit limit=${settings.maxConnections}" }
+        connection.closeIfIdle()
     }
 
     /** Returns the refusal of a new call while the lag of [loop] exceeds the limit, or null. Call on that loop. */
@@ -267,11 +273,13 @@
     }
 }
 
-/** Connection pools and lag of one event loop. */
+/** Connections and lag of one event loop. */
 internal class LoopPools(
     val owners: OwnerPools,
     val target: ConnectionPool?,
     val lag: LoopLag,
+    /** Connections of callers and entry nodes. */
+    val callers: OpenConnections<DownstreamHandler>,
 ) {
     fun sweep() {
         owners.sweep()
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/OwnerExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/OwnerExchange.kt
@@ -47,6 +47,9 @@
     /** Entry nodes send one request at a time on a connection. */
     override fun mayOverlap(head: HttpRequest) = false
 
+    /** An entry node cannot tell whether a request that was on its way at the close has been executed. */
+    override val mayCloseIdle get() = false
+
     override fun open(
         downstream: DownstreamCall,
         head: HttpRequest,
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
@@ -58,6 +58,9 @@
     /** Bytes that the calls and connections of the node hold. */
     val heldBytes: Long get() = node.memory.bytes
 
+    /** Number of open connections of callers and entry nodes. */
+    val openConnections: Int get() = connections.size
+
     /** Calls that hold a slot of the local target or wait for one, in permille of its slots. */
     val loadPermille: Int get() = node.admission.loadPermille
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxySettings.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxySettings.kt
@@ -8,6 +8,12 @@
 import dev.baobabhollow.model.ServiceId
 import io.netty.util.internal.PlatformDependent
 
+/** Heap of an idle connection with its handlers: 2,600 bytes measured, rounded up. */
+private const val CONNECTION_BYTES = 3_072L
+
+/** Connections may take a third of the heap, so that calls and the configuration keep the rest. */
+private const val CONNECTIONS_DIVISOR = 3
+
 /** Settings of the data plane of a node. */
 data class ProxySettings(
     /** Address for callers; port 0 picks a free one. */
@@ -25,6 +31,11 @@
      * half of the direct memory of the JVM, since buffers that are only partly used take the other half.
      */
     val maxHeldBytes: Long = PlatformDependent.maxDirectMemory() / 2,
+    /**
+     * Most connections of callers and entry nodes; beyond them, those of callers that have been idle for longest are
+     * closed. The default is what a third of the JVM's heap holds.
+     */
+    val maxConnections: Int = (Runtime.getRuntime().maxMemory() / CONNECTIONS_DIVISOR / CONNECTION_BYTES).toInt(),
     /** Bytes of a request body that an owner buffers before the call takes a slot, so that a slow sender holds none. */
     val bodyBufferBytes: Int = 65_536,
     /**
@@ -83,4 +94,7 @@
     val outliers: OutlierSettings = OutlierSettings(),
     val retries: RetryBudgetSettings = RetryBudgetSettings(),
     val admission: AdmissionSettings = AdmissionSettings(),
-)
+) {
+    /** Most connections that one event loop serves. */
+    internal val maxConnectionsPerLoop: Int get() = (maxConnections / eventLoops).coerceAtLeast(1)
+}
