Count the objects of stored outcomes of keys

A node of the own platform kept up to 50,000 keys and 16 MB of responses for repeated keys, counted by their characters alone.

Keys and responses now count with their objects towards one limit, a fifth of the heap. Responses are dropped to make room for keys, and keys are never dropped; above the limit new ones are refused as not run, as before above 50,000. With a heap of 48 MB, that is after about 35,000 keys.

"drop responses, never keys, at their limits" stated the limits in the old unit; it checks the same decisions, and also that nothing is left of what was removed.

--- a/calls/src/main/kotlin/dev/baobabhollow/calls/KeyOutcomes.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/KeyOutcomes.kt
@@ -4,13 +4,18 @@
 import java.util.TreeSet
 
 /**
- * Limits of a [KeyOutcomes]. Keys are never removed before their deadline, so new keys beyond [maxKeys] are refused.
+ * Limits of a [KeyOutcomes], in bytes of memory with the objects. Keys are never removed before their deadline, so new keys
+ * beyond [maxTotalBytes] are refused; responses are dropped to make room for them.
  */
 data class KeyOutcomeLimits(
-    val maxKeys: Int = 50_000,
-    val maxResponseBytes: Int = 16 * 1024,
-    val maxTotalBytes: Long = 16L * 1024 * 1024,
-)
+    val maxResponseBytes: Int = 20 * 1024,
+    val maxTotalBytes: Long = Runtime.getRuntime().maxMemory() / HEAP_DIVISOR,
+) {
+    private companion object {
+        /** Outcomes may take a fifth of the heap, beside connections, calls and the configuration. */
+        const val HEAP_DIVISOR = 5
+    }
+}
 
 /** Complete response, cached for retries with the same key. */
 class CachedResponse(
@@ -18,7 +23,17 @@
     val headers: List<Pair<String, String>>,
     val body: ByteArray,
 ) {
-    internal val bytes: Int get() = body.size + headers.sumOf { (name, value) -> name.length + value.length }
+    /** Estimated memory, in bytes. */
+    internal val bytes: Int =
+        RESPONSE_BYTES + body.size + headers.sumOf { (name, value) -> FIELD_BYTES + name.length + value.length }
+
+    private companion object {
+        /** Objects of a response on a 64-bit JVM: itself, its list and its array. */
+        const val RESPONSE_BYTES = 96
+
+        /** Objects of a header field: a pair, two strings with their arrays, and the place in the list. */
+        const val FIELD_BYTES = 128
+    }
 }
 
 /** Whether a call with a key may be sent to the target. */
@@ -45,7 +60,7 @@
         val error: KeyError,
     ) : KeyBeginResult
 
-    /** The limit of stored keys is reached. The call did not run. */
+    /** There is no room for another key. The call did not run. */
     data object Full : KeyBeginResult
 }
 
@@ -66,12 +81,21 @@
     ) {
         var running = true
         var response: CachedResponse? = null
+
+        /** Estimated memory without the response, in bytes. */
+        val bytes: Int get() = ENTRY_BYTES + key.length + request.length
     }
 
     private val entries = HashMap<String, Entry>()
     private val byDeadline = TreeSet<Entry>(compareBy({ it.deadlineMillis }, { it.key }))
     private val withResponse = LinkedHashSet<Entry>()
+
+    /** Estimated memory of the keys, and that of the responses, in bytes. */
+    private var keyBytes = 0L
     private var responseBytes = 0L
+
+    /** Estimated memory, in bytes. */
+    internal val bytes: Long get() = keyBytes + responseBytes
     private var latestMillis = Long.MIN_VALUE
 
     /** Number of stored keys. */
@@ -89,10 +113,12 @@
         val known = entries[key.text]
         if (known != null) return resultOfRepeat(known, request)
         key.checkLifetime(latestMillis).getError()?.let { return KeyBeginResult.Refused(it) }
-        if (entries.size >= limits.maxKeys) return KeyBeginResult.Full
         val entry = Entry(key.text, request, key.deadlineMillis)
+        if (keyBytes + entry.bytes > limits.maxTotalBytes) return KeyBeginResult.Full
         entries[key.text] = entry
         byDeadline.add(entry)
+        keyBytes += entry.bytes
+        dropResponses()
         return KeyBeginResult.Started
     }
 
@@ -108,15 +134,26 @@
         entry.response = response
         withResponse.add(entry)
         responseBytes += response.bytes
-        while (responseBytes > limits.maxTotalBytes) dropResponse(withResponse.first())
+        dropResponses()
     }
 
     /** Ends a call that was certainly not sent to the target. The key may be used again. */
     @Synchronized
     fun abandon(key: IdempotencyKey) {
         val entry = entries[key.text]?.takeIf { it.running } ?: return
-        entries.remove(key.text)
+        remove(entry)
+    }
+
+    private fun remove(entry: Entry) {
+        dropResponse(entry)
+        entries.remove(entry.key)
         byDeadline.remove(entry)
+        keyBytes -= entry.bytes
+    }
+
+    /** Drops the oldest responses until all keys and the other responses are within the limit. */
+    private fun dropResponses() {
+        while (bytes > limits.maxTotalBytes) dropResponse(withResponse.first())
     }
 
     private fun resultOfRepeat(
@@ -130,10 +167,7 @@
 
     private fun removeExpired() {
         while (byDeadline.isNotEmpty() && byDeadline.first().deadlineMillis <= latestMillis) {
-            val entry = byDeadline.first()
-            byDeadline.remove(entry)
-            entries.remove(entry.key)
-            dropResponse(entry)
+            remove(byDeadline.first())
         }
     }
 
@@ -142,4 +176,9 @@
         responseBytes -= entry.response?.bytes ?: 0
         entry.response = null
     }
+
+    private companion object {
+        /** Objects of a key on a 64-bit JVM: entry, string, and the nodes of the map and the two sets. */
+        const val ENTRY_BYTES = 216
+    }
 }
--- a/calls/src/test/kotlin/dev/baobabhollow/calls/KeyOutcomesSpec.kt
+++ b/calls/src/test/kotlin/dev/baobabhollow/calls/KeyOutcomesSpec.kt
@@ -1,6 +1,8 @@
 package dev.baobabhollow.calls
 
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import org.jetbrains.kotlinx.lincheck.annotations.Operation
@@ -29,6 +31,16 @@
     fun abandon() = outcomes.abandon(key)
 }
 
+private const val HEAP_LIMIT = 8L * 1024 * 1024
+private val NO_LIMIT = KeyOutcomeLimits(maxTotalBytes = Long.MAX_VALUE)
+
+/** Bytes of the heap that are reachable. */
+private fun usedHeap(): Long {
+    val runtime = Runtime.getRuntime()
+    repeat(3) { System.gc() }
+    return runtime.totalMemory() - runtime.freeMemory()
+}
+
 class KeyOutcomesSpec :
     DescribeSpec({
         fun response(bytes: Int) = CachedResponse(200, emptyList(), ByteArray(bytes))
@@ -57,10 +69,13 @@
 
             // Guards against a limit that removes a key instead of its response and so lets its request run twice.
             it("drop responses, never keys, at their limits") {
-                val outcomes = KeyOutcomes(KeyOutcomeLimits(maxKeys = 3, maxResponseBytes = 10, maxTotalBytes = 10))
-                listOf("a" to 10, "b" to 10, "c" to 11).forEach { (name, bytes) ->
-                    outcomes.begin(key(100, name), REQUEST, 0)
-                    outcomes.finish(key(100, name), response(bytes))
+                val bytes = response(10).bytes
+                val keyBytes = KeyOutcomes(NO_LIMIT).apply { begin(key(100, "a"), REQUEST, 0) }.bytes
+                val limits = KeyOutcomeLimits(maxResponseBytes = bytes, maxTotalBytes = 3 * keyBytes + bytes)
+                val outcomes = KeyOutcomes(limits)
+                listOf("a" to 10, "b" to 10, "c" to 11).forEach { (name, length) ->
+                    outcomes.begin(key(100, name), REQUEST, 0) shouldBe KeyBeginResult.Started
+                    outcomes.finish(key(100, name), response(length))
                 }
                 outcomes.begin(key(100, "a"), REQUEST, 0) shouldBe KeyBeginResult.Ran
                 outcomes.begin(key(100, "b"), REQUEST, 0).shouldBeInstanceOf<KeyBeginResult.Answered>()
@@ -68,6 +83,24 @@
                 outcomes.begin(key(100, "d"), REQUEST, 0) shouldBe KeyBeginResult.Full
                 outcomes.begin(key(200, "d"), REQUEST, 100) shouldBe KeyBeginResult.Started
                 outcomes.size shouldBe 1
+                outcomes.bytes shouldBe keyBytes
+            }
+
+            // Guards against a node that ends for lack of memory because the objects of keys and headers do not count.
+            it("take no more of the heap than their limit") {
+                val outcomes = KeyOutcomes(KeyOutcomeLimits(maxTotalBytes = HEAP_LIMIT))
+                val before = usedHeap()
+                val headers = { List(100) { "x-$it" to "$it" } }
+                val isFull =
+                    (1..100_000).any {
+                        val key = key(100, "key-of-a-request-with-a-usual-length-$it")
+                        val begun = outcomes.begin(key, REQUEST, 0)
+                        outcomes.finish(key, CachedResponse(200, headers(), ByteArray(0)))
+                        begun == KeyBeginResult.Full
+                    }
+                isFull shouldBe true
+                usedHeap() - before shouldBeLessThan HEAP_LIMIT
+                outcomes.size shouldBeGreaterThan 1
             }
 
             // Guards against a second run after the clock has stepped back over the deadline of a removed key.
