Handle SIGHUP also while a node starts

The review saw nodes end with exit code 129 when they got SIGHUP in their first half second: the handler was set only after the start, and until then the JVM ends on SIGHUP. It is set before the start now; the first moments of the JVM itself, before its main function runs, remain.

NodeProcessesSpec "survives SIGHUP while it starts" failed before (the node had ended) and passes.

--- a/cli/src/main/kotlin/dev/baobabhollow/cli/NodeCommand.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/NodeCommand.kt
@@ -34,13 +34,13 @@
         System.setProperty(LOG_NODE_PROPERTY, parsed.node.value)
         if (parsed.platform != PlatformKind.OWN) logWithoutBlocking()
         val node = nodeOf(parsed)
+        reloadOnSighup(node)
         try {
             node.start()
         } catch (e: IOException) {
             fail("cannot start the node of $settings: $e")
         }
         stopOnShutdown(node)
-        reloadOnSighup(node)
         CountDownLatch(1).await()
         return EXIT_DONE
     }
@@ -56,7 +56,10 @@
         return Node(settings, clock, adapter = ConsortiumPlatform(settings.platformLog, clock))
     }
 
-    /** Reloads the settings on SIGHUP, which would end the JVM by default. Settings with errors change nothing. */
+    /**
+     * Reloads the settings on SIGHUP, which would end the JVM by default, also while [node] starts. Settings with errors
+     * change nothing.
+     */
     private fun reloadOnSighup(node: Node) =
         Signal.handle(Signal("HUP")) {
             val text = runCatching { File(settings).readText() }
--- a/cli/src/test/kotlin/dev/baobabhollow/cli/NodeProcessesSpec.kt
+++ b/cli/src/test/kotlin/dev/baobabhollow/cli/NodeProcessesSpec.kt
@@ -8,6 +8,7 @@
 import dev.baobabhollow.cli.demo.LoadRoute
 import dev.baobabhollow.cli.demo.NodePlan
 import dev.baobabhollow.model.Change
+import dev.baobabhollow.model.Endpoint
 import dev.baobabhollow.model.MemberConfig
 import dev.baobabhollow.model.MemberId
 import dev.baobabhollow.model.NodeStatus
@@ -25,6 +26,7 @@
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import java.net.Socket
 import java.nio.file.Files
 import java.util.concurrent.TimeUnit
 
@@ -41,12 +43,13 @@
 
 private fun awaitUntil(
     what: String,
+    pauseMillis: Long = 50,
     isTrue: () -> Boolean,
 ) {
     val deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DEADLINE_MILLIS)
     while (!isTrue()) {
         check(System.nanoTime() < deadlineNanos) { "not within $DEADLINE_MILLIS ms: $what" }
-        Thread.sleep(50)
+        Thread.sleep(pauseMillis)
     }
 }
 
@@ -114,8 +117,29 @@
                 directory.deleteRecursively()
             }
         }
+
+        describe("a node as a process") {
+            // Guards against a node that SIGHUP ends, which is the JVM's default, because it has not started yet.
+            it("survives SIGHUP while it starts") {
+                val directory = Files.createTempDirectory("baobabhollow-test").toFile()
+                ChildProcesses(directory).use { children ->
+                    val fleet = DemoFleet(children, directory, emptyMap())
+                    val node = fleet.startNodes(listOf(NodePlan("n1", "a", "s", "1")), fleet.startLog()).first()
+                    // The operators' port is the first part of a node to be started.
+                    awaitUntil("the operators' port is open", pauseMillis = 1) { isOpen(node.operator) }
+                    sendSighup(node)
+                    awaitUntil("the node has started") {
+                        directory.walk().any { it.isFile && "node_started" in it.readText() }
+                    }
+                    node.child.process.isAlive shouldBe true
+                }
+                directory.deleteRecursively()
+            }
+        }
     })
 
+private fun isOpen(endpoint: Endpoint) = runCatching { Socket(endpoint.host, endpoint.port).close() }.isSuccess
+
 private fun sendSighup(node: DemoNode) {
     val pid = node.child.process.pid()
     ProcessBuilder("kill", "-HUP", pid.toString()).inheritIO().start().waitFor() shouldBe 0
--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -147,7 +147,7 @@
 
     /**
      * Applies the [NodeSettings.limits] of [next] and logs whether other settings differ, since those need a restart.
-     * Calls are not interrupted.
+     * Calls are not interrupted. May be called before [start].
      */
     fun reload(next: NodeSettings) {
         val needsRestart = next.copy(limits = settings.limits) != settings
