--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/MemoryRefusalSpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/MemoryRefusalSpec.kt
@@ -105,14 +105,7 @@
             it("keeps the connection if its whole request was read while it waited for its turn") {
                 val started = Signal<Unit>()
                 val release = Signal<Unit>()
-                val target =
-                    ScriptedTarget.responding {
-                        if (it.path == "/orders/slow") {
-                            started.send(Unit)
-                            release.await()
-                        }
-                        respond("ok")
-                    }
+                val target = ScriptedTarget.holding("/orders/slow", started, release)
                 TestMesh(listOf(target.port), settings = settings).use { mesh ->
                     val caller = connect(mesh.port)
                     caller.send("POST /orders/slow HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n")
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/OpenConnectionsSpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/OpenConnectionsSpec.kt
@@ -49,14 +49,7 @@
                 val settings = ProxySettings(LOOPBACK_ANY, eventLoops = 1, maxConnections = MAX_CONNECTIONS)
                 val started = Signal<Unit>()
                 val release = Signal<Unit>()
-                val target =
-                    ScriptedTarget.responding {
-                        if (it.path == "/stock/slow") {
-                            started.send(Unit)
-                            release.await()
-                        }
-                        respond("ok")
-                    }
+                val target = ScriptedTarget.holding("/stock/slow", started, release)
                 TestMesh(listOf(target.port), settings = settings).use { mesh ->
                     val busy = connect(mesh.port)
                     busy.send("GET /stock/slow HTTP/1.1\r\nhost: a\r\n\r\n")
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/ScriptedTarget.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/ScriptedTarget.kt
@@ -128,6 +128,21 @@
                 connection.respond(request)
             }
         }
+
+        /**
+         * Responds to requests for [path] when [release] is sent, after it has sent [started], and to others at once.
+         */
+        fun holding(
+            path: String,
+            started: Signal<Unit>,
+            release: Signal<Unit>,
+        ) = responding { request ->
+            if (request.path == path) {
+                started.send(Unit)
+                release.await()
+            }
+            respond("ok")
+        }
     }
 }
 
