Track claimed keys within an eighth of the heap

A node of the own platform tracked up to 50,000 claimed keys of the fleet in each of four partitions.

The default now follows the heap, with 512 bytes a key, up to 50,000 a partition. A node at its limit refuses claims as not run, and one that drops a key decides none of the same second, as before, so nodes may differ in it. Outcomes of keys may take a sixth of the heap instead of a fifth to make room.

--- a/calls/src/main/kotlin/dev/baobabhollow/calls/ClaimTable.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/ClaimTable.kt
@@ -148,8 +148,10 @@
         droppedDeadlines.headSet(logMillis / MILLIS_PER_SECOND).clear()
     }
 
-    private companion object {
-        const val DEFAULT_MAX_KEYS = 50_000
-        const val MILLIS_PER_SECOND = 1_000L
+    companion object {
+        /** Estimated heap of a key of usual length with its claim on a 64-bit JVM, in bytes. */
+        const val KEY_BYTES = 512
+        private const val DEFAULT_MAX_KEYS = 50_000
+        private const val MILLIS_PER_SECOND = 1_000L
     }
 }
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/KeyOutcomes.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/KeyOutcomes.kt
@@ -12,8 +12,8 @@
     val maxTotalBytes: Long = Runtime.getRuntime().maxMemory() / HEAP_DIVISOR,
 ) {
     private companion object {
-        /** Outcomes may take a fifth of the heap, beside connections, calls and the configuration. */
-        const val HEAP_DIVISOR = 5
+        /** Outcomes may take a sixth of the heap, beside claims, connections, calls and the configuration. */
+        const val HEAP_DIVISOR = 6
     }
 }
 
--- a/calls/src/test/kotlin/dev/baobabhollow/calls/ClaimTableSpec.kt
+++ b/calls/src/test/kotlin/dev/baobabhollow/calls/ClaimTableSpec.kt
@@ -6,10 +6,12 @@
 import dev.baobabhollow.model.LogRecord
 import dev.baobabhollow.model.WriterId
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 
 private const val DEADLINE_MILLIS = 1_000_000L
 private const val KEY = "$DEADLINE_MILLIS-order"
+private const val CLAIMS = 20_000
 private const val START_MILLIS = DEADLINE_MILLIS - MAX_CLAIM_LIFETIME_MILLIS
 
 internal fun claimEntry(
@@ -108,6 +110,18 @@
                 larger.status(later, "b") shouldBe ClaimStatus.Won
             }
 
+            // Guards against a node that ends for lack of memory because its limit of keys allows more than its heap holds.
+            it("takes no more of the heap for a key than its limit assumes") {
+                val table = ClaimTable(0, 1)
+                val before = usedHeap()
+                repeat(CLAIMS) {
+                    val key = "${DEADLINE_MILLIS + it}-key-of-a-request-with-a-usual-length-$it"
+                    table.add(claimEntry(it.toLong(), "node-of-a-usual-length/$START_MILLIS/claims/$it", key = key))
+                }
+                table.size shouldBe CLAIMS
+                usedHeap() - before shouldBeLessThan CLAIMS.toLong() * ClaimTable.KEY_BYTES
+            }
+
             it("decides no new key while it reads claims for keys of other partitions") {
                 val foreign = (0..99).map { "$DEADLINE_MILLIS-$it" }.first { partitionOf(it, 2) == 1 }
                 val mine = (0..99).map { "$DEADLINE_MILLIS-$it" }.first { partitionOf(it, 2) == 0 }
--- a/calls/src/test/kotlin/dev/baobabhollow/calls/KeyOutcomesSpec.kt
+++ b/calls/src/test/kotlin/dev/baobabhollow/calls/KeyOutcomesSpec.kt
@@ -34,13 +34,6 @@
 private const val HEAP_LIMIT = 8L * 1024 * 1024
 private val NO_LIMIT = KeyOutcomeLimits(maxTotalBytes = Long.MAX_VALUE)
 
-/** Bytes of the heap that are reachable. */
-private fun usedHeap(): Long {
-    val runtime = Runtime.getRuntime()
-    repeat(3) { System.gc() }
-    return runtime.totalMemory() - runtime.freeMemory()
-}
-
 class KeyOutcomesSpec :
     DescribeSpec({
         fun response(bytes: Int) = CachedResponse(200, emptyList(), ByteArray(bytes))
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/claims/ClaimsSettings.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/claims/ClaimsSettings.kt
@@ -1,5 +1,7 @@
 package dev.baobabhollow.proxy.claims
 
+import dev.baobabhollow.calls.ClaimTable
+
 /**
  * Settings of a [LogClaims]. All nodes of the fleet must use the same number of [partitions], or two can win one key.
  *
@@ -10,7 +12,8 @@
  * @property maxPendingReleases most releases that wait for the log; further ones are lost and their keys stay blocked
  * until their deadlines
  * @property maxBackoffMillis longest backoff between two attempts to reach a log that is down
- * @property maxKeysPerPartition most unexpired keys of the whole fleet that a node tracks; claims beyond are not run
+ * @property maxKeysPerPartition most unexpired keys of the whole fleet that a node tracks; claims beyond are not run.
+ * The default takes an eighth of the heap, and 50,000 at most
  */
 data class ClaimsSettings(
     val partitions: Int = 4,
@@ -20,5 +23,16 @@
     val timeoutMillis: Long = 2_000,
     val maxPendingReleases: Int = 16_384,
     val maxBackoffMillis: Long = 2_000,
-    val maxKeysPerPartition: Int = 50_000,
-)
+    val maxKeysPerPartition: Int = keysPerPartition(Runtime.getRuntime().maxMemory(), partitions),
+) {
+    internal companion object {
+        private const val HEAP_DIVISOR = 8
+        private const val MAX_KEYS_PER_PARTITION = 50_000L
+
+        /** Keys that a node with [heapBytes] of heap may track in each of [partitions]. */
+        fun keysPerPartition(
+            heapBytes: Long,
+            partitions: Int,
+        ): Int = minOf(heapBytes / HEAP_DIVISOR / partitions / ClaimTable.KEY_BYTES, MAX_KEYS_PER_PARTITION).toInt()
+    }
+}
