Leave half of the open files to what a node opens itself

The bound of connections by the heap is 4,401, so it did not come first.

Cause: callers' connections could use up the files, and the connection to the target needs one more.

The variable has no test of its own.

--- a/cli/src/main/kotlin/dev/baobabhollow/cli/NodeCommand.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/NodeCommand.kt
@@ -6,6 +6,7 @@
 import dev.baobabhollow.model.MonotonicClock
 import dev.baobabhollow.node.EventLog
 import dev.baobabhollow.node.LOG_NODE_PROPERTY
+import dev.baobabhollow.node.LimitSettings
 import dev.baobabhollow.node.Node
 import dev.baobabhollow.node.NodeSettings
 import dev.baobabhollow.node.PlatformKind
@@ -33,7 +34,7 @@
             }
         System.setProperty(LOG_NODE_PROPERTY, parsed.node.value)
         if (parsed.platform != PlatformKind.OWN) logWithoutBlocking()
-        val node = nodeOf(parsed)
+        val node = nodeOf(parsed.copy(limits = withOpenFiles(parsed.limits)))
         reloadOnSighup(node)
         try {
             node.start()
@@ -45,6 +46,14 @@
         return EXIT_DONE
     }
 
+    /** Applies the limit of open files of a platform that states it in the environment. */
+    private fun withOpenFiles(limits: LimitSettings): LimitSettings {
+        val text = System.getenv(OPEN_FILES_VARIABLE)?.ifEmpty { null } ?: return limits
+        val files =
+            text.toIntOrNull()?.takeIf { it > 0 } ?: fail("$OPEN_FILES_VARIABLE: \"$text\" is not a positive number")
+        return limits.copy(openFiles = files)
+    }
+
     private fun logWithoutBlocking() {
         System.setProperty("baobabhollow.logTarget", "SYSTEM_OUT")
         System.setProperty("baobabhollow.logAppender", "queue")
@@ -82,4 +91,8 @@
         }
         Runtime.getRuntime().addShutdownHook(Thread(hook, "stop"))
     }
+
+    private companion object {
+        const val OPEN_FILES_VARIABLE = "BAOBABHOLLOW_OPEN_FILES"
+    }
 }
--- a/node/src/main/kotlin/dev/baobabhollow/node/NodeSettings.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/NodeSettings.kt
@@ -107,4 +107,6 @@
     val operatorBodyBytes: Int = 65_536,
     /** Seconds from the begin of a planned stop to the end of the process; if null, [drainMillis] applies. */
     val stopWithinSeconds: Double? = null,
+    /** Files and sockets that the process may have open; if null, the limit of the operating system applies. */
+    val openFiles: Int? = null,
 )
--- a/node/src/main/kotlin/dev/baobabhollow/node/PlatformTuning.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/PlatformTuning.kt
@@ -21,11 +21,18 @@
 /** Retries that one node may accumulate if the settings state no slack. */
 private const val SAVED_RETRIES = 2
 
+/** Callers and entry nodes may use half of the open files, so that calls can still be forwarded. */
+private const val CONNECTION_FILES_DIVISOR = 2
+
 internal fun proxySettings(
     settings: NodeSettings,
     protocol: CallProtocol,
 ): ProxySettings {
-    val base = ProxySettings(settings.addresses.callers, eventLoops = settings.limits.eventLoopThreads)
+    val base =
+        ProxySettings(
+            settings.addresses.callers,
+            eventLoops = settings.limits.eventLoopThreads,
+        ).withinFiles(settings)
     if (settings.platform == PlatformKind.OWN) return base
     val retries = settings.retries ?: RetrySettings()
     return base.copy(
@@ -72,6 +79,11 @@
     )
 }
 
+private fun ProxySettings.withinFiles(settings: NodeSettings): ProxySettings {
+    val files = settings.limits.openFiles ?: openFileLimit() ?: return this
+    return copy(maxConnections = minOf(maxConnections, files / CONNECTION_FILES_DIVISOR))
+}
+
 internal fun controlSettings(settings: NodeSettings): ControlPlaneSettings {
     val base = ControlPlaneSettings(seeds = settings.seeds)
     if (settings.platform == PlatformKind.OWN) return base
--- a/node/src/main/kotlin/dev/baobabhollow/node/SettingsValidation.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/SettingsValidation.kt
@@ -75,11 +75,12 @@
     }
 
 private fun limitErrors(limits: LimitSettings): List<ConfigError> =
-    listOf(
+    listOfNotNull(
         "eventLoopThreads" to limits.eventLoopThreads.toLong(),
         "drainMillis" to limits.drainMillis,
         "verdictWaitMillis" to limits.verdictWaitMillis,
         "operatorBodyBytes" to limits.operatorBodyBytes.toLong(),
+        limits.openFiles?.let { "openFiles" to it.toLong() },
     ).flatMap { (name, value) -> atLeastOne("$.limits.$name", value) }
 
 private fun atLeastOne(
