--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/OpenConnections.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/OpenConnections.kt
@@ -15,7 +15,7 @@
     var count = 0
         private set
 
-    /** Adds a connection, which is never closed before it is [idle] unless [isIdle]. */
+    /** Adds a connection. Unless [isIdle], it is not closed before it has been reported as [idle]. */
     fun opened(
         connection: C,
         isIdle: Boolean = true,
@@ -35,6 +35,7 @@
         idle.remove(connection)
     }
 
+    /** Reports that [connection] is not in use from now on. */
     fun idle(connection: C) {
         idle.add(connection)
     }
