--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/ScriptedTarget.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/ScriptedTarget.kt
@@ -56,7 +56,11 @@
     }
 
     /** Reads a chunked response without keeping its body, and returns false if the connection ends first. */
-    fun readAndDiscard(): Boolean = read(withBody = false) != null && readChunks {}
+    fun readAndDiscard(): Boolean {
+        val head = read(withBody = false) ?: return false
+        check(head.headers["transfer-encoding"] == "chunked") { "not a chunked response: $head" }
+        return readChunks {}
+    }
 
     /** Reads until the peer closes the connection and returns what was read, or "reset" after a reset. */
     fun readToEnd(): String = runCatching { String(input.readAllBytes(), Charsets.ISO_8859_1) }.getOrElse { "reset" }
