Evacuate failure domains by order of the operator

Operators had no way to keep calls away from the targets of a failure domain. The records evacuate/ZONE of the operator's topic are folded into ConfigurationState.evacuatedDomains, which the content hash and transfers cover. RoutingTable leaves those targets out, and owners refuse calls for them as not run, so that nodes without the order cannot violate it.

EvacuationSpec, EvacuatedTargetsSpec, EvacuatedDomainSpec and EvacuationRecordsSpec pass. Nine mutations of the new code each failed one of them: table filter, readiness, choice of the release (2), check at the owner, check at the slot, retries of older tables, set in newest reads, sorting.

--- a/calls/src/main/kotlin/dev/baobabhollow/calls/AnnouncedReleaseRouter.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/AnnouncedReleaseRouter.kt
@@ -10,11 +10,13 @@
 
 /**
  * Routes calls to a service whose releases are known only from what its targets announce. [move] is the service's
- * newest ordered move. Its new release gets no share if [isHeld].
+ * newest ordered move. Its new release gets no share if [isHeld]. Targets in [evacuated] domains get no calls, but count
+ * for the choice of the release, so that an evacuation does not route calls to a release that no order names.
  */
 internal class AnnouncedReleaseRouter(
     private val move: MoveState?,
     private val isHeld: Boolean,
+    private val evacuated: Set<FailureDomainId> = emptySet(),
 ) {
     fun route(
         id: ServiceId,
@@ -25,10 +27,10 @@
         val to = move?.plan?.to
         // A target of unknown release may have the old or the new one, so it cannot be used once a move is ordered.
         val (unknown, known) = targets.partition { it.release == UNKNOWN_RELEASE }
-        val (new, old) = known.partition { it.release == to }
+        val (new, old) = usable(known).partition { it.release == to }
         val current =
             when {
-                move == null -> mostAnnounced(known) + unknown
+                move == null -> usable(mostAnnounced(known) + unknown)
                 move.phase == MovePhase.DONE -> new.ifEmpty { old }
                 else -> old
             }
@@ -42,6 +44,8 @@
         )
     }
 
+    private fun usable(targets: List<TargetEndpoint>) = targets.filter { it.failureDomain !in evacuated }
+
     /**
      * Returns the targets of the release that most targets announce. Targets of a new release start before all nodes
      * know the order to move to it, and must not get calls until then.
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
@@ -37,6 +37,8 @@
     /** Limits of what callers may send, if the configuration states them. */
     val callerLimits: CallerLimits? = null,
     private val matchers: RouteMatchers = RouteMatchers(MeshConfig.EMPTY),
+    /** Failure domains whose targets get no calls and are not in the table. */
+    val evacuatedDomains: Set<FailureDomainId> = emptySet(),
 ) {
     /** Nodes whose targets are in the table. */
     val nodes: Set<NodeId> get() = targets.keys
@@ -87,8 +89,9 @@
         ): RoutingTable {
             val matchers = previous?.matchers?.updatedFor(state.mesh) ?: RouteMatchers(state.mesh)
             val selfDomain = view.nodes[view.self]?.failureDomain
-            val targets = servingTargets(state, view)
-            val byService = targets.groupBy { it.service }
+            val serving = servingTargets(state, view)
+            val servingByService = serving.groupBy { it.service }
+            val targets = serving.filter { it.failureDomain !in state.evacuatedDomains }
             val byRelease = targets.groupBy { it.service to it.release }
             val moves =
                 state.moves.entries
@@ -98,8 +101,9 @@
                 state.mesh.services.mapValues { (id, config) ->
                     if (config.initialRelease == ANNOUNCED_RELEASE) {
                         val ordered = state.orders[id]?.move
-                        val router = AnnouncedReleaseRouter(state.moves[ordered], ordered in heldMoves)
-                        return@mapValues router.route(id, config, byService[id].orEmpty(), selfDomain)
+                        val router =
+                            AnnouncedReleaseRouter(state.moves[ordered], ordered in heldMoves, state.evacuatedDomains)
+                        return@mapValues router.route(id, config, servingByService[id].orEmpty(), selfDomain)
                     }
                     val current = state.currentReleases[id] ?: config.initialRelease
                     val (moveId, move) = moves[id]?.let { it.key to it.value } ?: (null to null)
@@ -111,8 +115,9 @@
                         nextPermille = if (move == null || moveId in heldMoves) 0 else move.sharePermille,
                     )
                 }
-            // The order of a move may be read from the log before the first configuration.
-            val isReady = state.offset > NO_OFFSET && (state.version > 0 || state.orders.isEmpty())
+            // Orders of operators may be read from the log before the first configuration.
+            val hasOrders = state.orders.isNotEmpty() || state.evacuatedDomains.isNotEmpty()
+            val isReady = state.offset > NO_OFFSET && (state.version > 0 || !hasOrders)
             return RoutingTable(
                 state.version,
                 view.revision,
@@ -122,6 +127,7 @@
                 targets.associateBy { it.node },
                 state.mesh.callerLimits,
                 matchers,
+                state.evacuatedDomains,
             )
         }
 
--- a/configuration/src/main/kotlin/dev/baobabhollow/configuration/Fold.kt
+++ b/configuration/src/main/kotlin/dev/baobabhollow/configuration/Fold.kt
@@ -4,6 +4,8 @@
 import dev.baobabhollow.model.ClaimsRecord
 import dev.baobabhollow.model.ConfigurationRecord
 import dev.baobabhollow.model.ConfigurationState
+import dev.baobabhollow.model.EvacuationRecord
+import dev.baobabhollow.model.EvacuationSetRecord
 import dev.baobabhollow.model.LogEntry
 import dev.baobabhollow.model.MeshChangeRecord
 import dev.baobabhollow.model.MoveId
@@ -46,6 +48,8 @@
 
         is MoveOrderRecord -> return foldOrder(state, entry, body)
 
+        is EvacuationRecord, is EvacuationSetRecord -> return foldEvacuation(state, entry.offset, body)
+
         // Only nodes send mesh changes to each other, and replicas decode them before the fold. One that is stored in
         // the log is therefore ignored like an unreadable record.
         is MeshChangeRecord, is UnreadableRecord -> return state.copy(offset = entry.offset)
@@ -60,6 +64,7 @@
         is MoveStageRecord -> foldMoveStage(updated, entry, body)
         is SnapshotRecord -> updated.copy(snapshotOffset = entry.offset, snapshotAtMillis = entry.appendedAtMillis)
         is ClaimsRecord, is ConfigurationRecord, is MoveOrderRecord, is MeshChangeRecord, is UnreadableRecord -> updated
+        is EvacuationRecord, is EvacuationSetRecord -> updated
     }
 }
 
--- a/model/src/main/kotlin/dev/baobabhollow/model/ConfigurationState.kt
+++ b/model/src/main/kotlin/dev/baobabhollow/model/ConfigurationState.kt
@@ -11,6 +11,7 @@
  * states.
  *
  * [currentReleases] maps each service to the release that receives all calls except the share of a running move.
+ * Targets in [evacuatedDomains], which are sorted by name, get no calls.
  */
 @Serializable
 data class ConfigurationState(
@@ -25,6 +26,7 @@
     val snapshotAtMillis: Long = 0,
     val lastAppendedAtMillis: Long = 0,
     val orders: Map<ServiceId, MoveOrder> = emptyMap(),
+    val evacuatedDomains: Set<FailureDomainId> = emptySet(),
 ) {
     /** Contains the initial state. */
     companion object {
--- a/model/src/main/kotlin/dev/baobabhollow/model/LogRecord.kt
+++ b/model/src/main/kotlin/dev/baobabhollow/model/LogRecord.kt
@@ -64,6 +64,24 @@
     val durationMillis: Long,
 ) : RecordBody
 
+/** Orders that the targets in [failureDomain] get no calls or, if [isEvacuated] is false, ends such an order. */
+@Serializable
+@SerialName("evacuation")
+data class EvacuationRecord(
+    val failureDomain: FailureDomainId,
+    val isEvacuated: Boolean = true,
+) : RecordBody
+
+/**
+ * Replaces all earlier [EvacuationRecord]s by the complete set of evacuated [failureDomains]. A read of the newest
+ * record of each key does not show removed keys, so only the complete set tells which orders have ended.
+ */
+@Serializable
+@SerialName("evacuationSet")
+data class EvacuationSetRecord(
+    val failureDomains: Set<FailureDomainId>,
+) : RecordBody
+
 /** Placeholder for a record that cannot be decoded. It only advances the offset. */
 @Serializable
 @SerialName("unreadable")
--- a/node/src/main/kotlin/dev/baobabhollow/node/ChangeLog.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/ChangeLog.kt
@@ -26,12 +26,21 @@
             EventLog.write("version_in_force", "version" to state.version, "offset" to state.offset)
         }
         if (state.moves != this.state.moves) logMoves(state)
+        if (state.evacuatedDomains != this.state.evacuatedDomains) logEvacuations(state)
         (held - this.held).forEach { EventLog.write("move_held", "move" to it, level = Level.WARN) }
         logNodes(view)
         this.state = state
         this.held = held
     }
 
+    private fun logEvacuations(state: ConfigurationState) =
+        EventLog.write(
+            "evacuation_changed",
+            "domains" to state.evacuatedDomains,
+            "before" to this.state.evacuatedDomains,
+            "offset" to state.offset,
+        )
+
     private fun logMoves(state: ConfigurationState) =
         state.moves.filter { (id, move) -> this.state.moves[id] != move }.forEach { (id, move) ->
             EventLog.write(
--- a/node/src/main/kotlin/dev/baobabhollow/node/OperatorDocuments.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/OperatorDocuments.kt
@@ -47,6 +47,7 @@
     val heldMoves: List<MoveId>,
     val upSinceMillis: Long,
     val nowMillis: Long,
+    val evacuatedDomains: List<FailureDomainId> = emptyList(),
 )
 
 /** Response body of `/versions`: the latest verdicts and the times at which this node put versions in force. */
--- a/node/src/main/kotlin/dev/baobabhollow/node/OperatorRoutes.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/OperatorRoutes.kt
@@ -77,6 +77,7 @@
             heldMoves = now.heldMoves.sorted(),
             upSinceMillis = now.upSinceMillis,
             nowMillis = nowMillis(),
+            evacuatedDomains = now.state.evacuatedDomains.toList(),
         )
     }
 
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlMetrics.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlMetrics.kt
@@ -17,6 +17,7 @@
     private val divergences = counter("control_divergences", "Peers with another state at the same offset")
     private val offset = gauge("configuration_offset", "Offset of the configuration state")
     private val version = gauge("configuration_version", "Version of the configuration state")
+    private val evacuated = gauge("evacuated_domains", "Failure domains whose targets get no calls")
     private val nodes = gauge("control_live_nodes", "Nodes that are neither leaving nor dead")
 
     fun countSent(
@@ -47,6 +48,8 @@
         version.set(position.version.toDouble())
     }
 
+    fun showEvacuatedDomains(count: Int) = evacuated.set(count.toDouble())
+
     fun showLiveNodes(count: Int) = nodes.set(count.toDouble())
 
     private fun countTraffic(
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
@@ -260,6 +260,7 @@
             position.isConfirmed,
         )
         metrics.showPosition(position)
+        metrics.showEvacuatedDomains(state.evacuatedDomains.size)
         backoff.reset()
         nextPullAtMillis = 0
     }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallFailure.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallFailure.kt
@@ -37,6 +37,7 @@
     WAIT_TOO_LONG("wait-too-long"),
     DEADLINE_PASSED("deadline-passed"),
     WRONG_TARGET("wrong-target"),
+    EVACUATED("evacuated"),
     TARGET_REFUSED("target-refused"),
     OWNER_UNREACHABLE("owner-unreachable", CallHealth.NO_CONNECTION),
     TARGET_UNREACHABLE("target-unreachable", CallHealth.NO_CONNECTION),
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
@@ -75,7 +75,14 @@
     }
 
     private fun pick(): TargetEndpoint? =
-        node.picker.pick(targets, tried, node.nowMillis(), ThreadLocalRandom.current().asKotlinRandom(), profile)
+        node.picker.pick(targets, excluded(), node.nowMillis(), ThreadLocalRandom.current().asKotlinRandom(), profile)
+
+    /** The call may have started before the order to evacuate, with targets of an earlier table. */
+    private fun excluded(): Set<NodeId> {
+        val evacuated = node.tables().evacuatedDomains
+        if (evacuated.isEmpty()) return tried
+        return targets.all.filter { it.failureDomain in evacuated }.mapTo(HashSet(tried)) { it.node }
+    }
 
     private fun send(chosen: TargetEndpoint) {
         attempts++
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
@@ -73,6 +73,9 @@
     /** Number of calls in flight on both ports. */
     val inFlight: Int get() = exchanges.get()
 
+    /** True while the operator orders that the target of this node gets no calls. */
+    val isEvacuated: Boolean get() = self.failureDomain in tables().evacuatedDomains
+
     val hasTarget: Boolean get() = targetEndpoint != null && self.target != null
 
     fun pools(loop: EventLoop): LoopPools = loops[loop] ?: loops.computeIfAbsent(loop) { newPools(it) }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/OwnerExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/OwnerExchange.kt
@@ -64,6 +64,7 @@
         val named = headers.get(MeshHeaders.ROUTE)?.let { node.tables().route(RouteId(it)) }
         val route = target?.let { named?.to(it.service) }
         if (route == null || target == null || !node.hasTarget) return refused(downstream, wrongTarget())
+        if (node.isEvacuated) return refused(downstream, CallFailure.notRun(FailureReason.EVACUATED))
         val release = headers.get(MeshHeaders.RELEASE)?.let(::ReleaseId)
         if (release != target.release && !isAnyRelease(release, route)) return refused(downstream, wrongTarget())
         val now = node.nowMillis()
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
@@ -149,6 +149,8 @@
         val request = head ?: return
         val pool = node.pools(loop).target
         if (pool == null) return finish(CallFailure.notRun(FailureReason.WRONG_TARGET))
+        // The order may have arrived while the call waited for its slot.
+        if (node.isEvacuated) return finish(CallFailure.notRun(FailureReason.EVACUATED))
         if (node.nowMillis() >= deadlineMillis) return finish(CallFailure.deadlinePassed(mayHaveRun = false))
         startMicros = node.nowMicros()
         val call = UpstreamCall(pool, callId, FailureReason.TARGET_UNREACHABLE, node.settings.protocol, this)
