Check API keys at the entry node and pass the tenant to the target

Deployments with tenants need each request attributed to the tenant of its key. The owner gets the tenant in x-baobabhollow-tenant and writes the header of the target's protocol.

--- a/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
@@ -37,6 +37,8 @@
     /** Limits of what callers may send, if the configuration states them. */
     val callerLimits: CallerLimits? = null,
     private val matchers: RouteMatchers = RouteMatchers(MeshConfig.EMPTY),
+    /** Tenants and their API keys. */
+    val tenants: TenantTable = TenantTable.EMPTY,
 ) {
     /** Nodes whose targets are in the table. */
     val nodes: Set<NodeId> get() = targets.keys
@@ -122,6 +124,7 @@
                 targets.associateBy { it.node },
                 state.mesh.callerLimits,
                 matchers,
+                previous?.tenants?.updatedFor(state.mesh) ?: TenantTable.of(state.mesh),
             )
         }
 
--- a/model/src/main/kotlin/dev/baobabhollow/model/Identifiers.kt
+++ b/model/src/main/kotlin/dev/baobabhollow/model/Identifiers.kt
@@ -33,6 +33,17 @@
     override fun toString(): String = value
 }
 
+/** Identifies a tenant, a customer whose callers present API keys. */
+@JvmInline
+@Serializable
+value class TenantId(
+    val value: String,
+) : Comparable<TenantId> {
+    override fun compareTo(other: TenantId): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+}
+
 /** Identifies a release (back-end version) within its service. */
 @JvmInline
 @Serializable
--- a/model/src/main/kotlin/dev/baobabhollow/model/MeshChange.kt
+++ b/model/src/main/kotlin/dev/baobabhollow/model/MeshChange.kt
@@ -5,7 +5,7 @@
 
 /**
  * Difference between two configurations. [members] and [services] are complete if any of their entries differ, and null
- * otherwise. [callerLimits] are always those of the newer configuration.
+ * otherwise. [callerLimits] and [isKeyRequired] are always those of the newer configuration.
  */
 @Serializable
 data class MeshChange(
@@ -14,6 +14,9 @@
     val putRoutes: Map<RouteId, RouteConfig> = emptyMap(),
     val removedRoutes: Set<RouteId> = emptySet(),
     val callerLimits: CallerLimits? = null,
+    val putTenants: Map<TenantId, TenantConfig> = emptyMap(),
+    val removedTenants: Set<TenantId> = emptySet(),
+    val isKeyRequired: Boolean = false,
 ) {
     /** Number of routes that differ. */
     val routeCount: Int get() = putRoutes.size + removedRoutes.size
@@ -23,7 +26,17 @@
         val routes = LinkedHashMap(base.routes)
         removedRoutes.forEach(routes::remove)
         routes.putAll(putRoutes)
-        return MeshConfig(members ?: base.members, services ?: base.services, routes, callerLimits)
+        val services = services ?: base.services
+        return MeshConfig(members ?: base.members, services, routes, callerLimits, tenantsAfter(base), isKeyRequired)
+    }
+
+    /** Keeps the instance of the map if no tenant differs, so that nodes need not compile its keys again. */
+    private fun tenantsAfter(base: MeshConfig): Map<TenantId, TenantConfig> {
+        if (putTenants.isEmpty() && removedTenants.isEmpty()) return base.tenants
+        val tenants = LinkedHashMap(base.tenants)
+        removedTenants.forEach(tenants::remove)
+        tenants.putAll(putTenants)
+        return tenants
     }
 
     /** Compares configurations. */
@@ -38,7 +51,21 @@
             putRoutes = next.routes.filter { (id, route) -> base.routes[id] != route },
             removedRoutes = base.routes.keys - next.routes.keys,
             callerLimits = next.callerLimits,
+            putTenants = changedTenants(base, next),
+            removedTenants = base.tenants.keys - next.tenants.keys,
+            isKeyRequired = next.isKeyRequired,
         )
+
+        private fun changedTenants(
+            base: MeshConfig,
+            next: MeshConfig,
+        ): Map<TenantId, TenantConfig> {
+            if (base.tenants === next.tenants) return emptyMap()
+            return next.tenants.filter { (id, tenant) ->
+                val before = base.tenants[id]
+                before !== tenant && before != tenant
+            }
+        }
     }
 }
 
--- a/model/src/main/kotlin/dev/baobabhollow/model/MeshConfig.kt
+++ b/model/src/main/kotlin/dev/baobabhollow/model/MeshConfig.kt
@@ -10,6 +10,9 @@
     val services: Map<ServiceId, ServiceConfig> = emptyMap(),
     val routes: Map<RouteId, RouteConfig> = emptyMap(),
     val callerLimits: CallerLimits? = null,
+    val tenants: Map<TenantId, TenantConfig> = emptyMap(),
+    /** True if callers must present an API key of one of [tenants], also while there are none. */
+    val isKeyRequired: Boolean = tenants.isNotEmpty(),
 ) {
     /** Contains the empty configuration. */
     companion object {
@@ -105,6 +108,8 @@
     val targetLatencyMillis: Long? = null,
     /** Priority at admission, where 0 is the highest; null means the priority of [callClass]. */
     val priority: Int? = null,
+    /** True if calls without an API key are accepted although the configuration requires one. */
+    val isAuthExempt: Boolean = false,
 )
 
 /** One service of a weighted split. It receives [weight] out of the sum of all weights of the calls on the route. */
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallFailure.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallFailure.kt
@@ -29,6 +29,7 @@
     TOO_MANY_HOPS("too-many-hops"),
     NOT_READY("not-ready"),
     NO_ROUTE("no-route"),
+    UNAUTHORIZED("unauthorized"),
     NO_TARGET("no-target"),
     DRAINING("draining", CallHealth.NO_CONNECTION),
     OVERLOADED("overloaded"),
@@ -86,6 +87,9 @@
         /** Refusal of a call for which the node's memory has no room. */
         fun memoryLimit() = notRun(FailureReason.MEMORY_LIMIT).copy(retryAfterMillis = MEMORY_RETRY_MILLIS)
 
+        /** Refusal of a call without a key, or with one that the configuration does not contain. */
+        fun unauthorized() = notRun(FailureReason.UNAUTHORIZED, HttpResponseStatus.UNAUTHORIZED)
+
         fun deadlinePassed(mayHaveRun: Boolean) =
             CallFailure(
                 HttpResponseStatus.GATEWAY_TIMEOUT,
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallProtocol.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallProtocol.kt
@@ -1,6 +1,8 @@
 package dev.baobabhollow.proxy
 
 import dev.baobabhollow.model.ServiceId
+import dev.baobabhollow.model.TenantId
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 
@@ -17,6 +19,7 @@
     val remainingMillis: Long,
     val instance: String?,
     val callerService: ServiceId?,
+    val tenant: TenantId? = null,
 )
 
 /**
@@ -50,6 +53,17 @@
         nowMillis: Long,
     ): CallerMetadata
 
+    /** Reads the API key that the headers of a caller's request present. */
+    fun readApiKey(headers: HttpHeaders): PresentedKey = bearerKey(headers.getAll(HttpHeaderNames.AUTHORIZATION))
+
+    /**
+     * Removes the API key and any tenant that a caller has stated from the headers of a request. Called only if the
+     * configuration requires keys.
+     */
+    fun removeCredentials(headers: HttpHeaders) {
+        headers.remove(HttpHeaderNames.AUTHORIZATION)
+    }
+
     /** Replaces the mesh headers of a request by those that the target expects. */
     fun writeTargetMetadata(
         headers: HttpHeaders,
@@ -86,6 +100,7 @@
     ) {
         headers.set(MeshHeaders.CALL, metadata.callId)
         headers.set(MeshHeaders.DEADLINE, metadata.deadlineMillis)
+        metadata.tenant?.let { headers.set(MeshHeaders.TENANT, it.value) }
     }
 
     override fun readResponseMetadata(head: HttpResponse) = ResponseMetadata(head.headers().get(MeshHeaders.CALL))
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
@@ -6,6 +6,7 @@
 import dev.baobabhollow.calls.Route
 import dev.baobabhollow.calls.TargetEndpoint
 import dev.baobabhollow.model.NodeId
+import dev.baobabhollow.model.TenantId
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
@@ -40,9 +41,10 @@
     private val route: Route,
     private val targets: ReleaseTargets,
     private val fixedTarget: TargetEndpoint?,
-    private val callerCallId: String?,
+    private val tenant: TenantId?,
 ) : RelayExchange(node, downstream, deadlines.lastMillis) {
     private val replay = PendingBody(node.memory)
+    private val callerCallId = downstream.caller.callId
     private val mayRetry = fixedTarget == null && !head.headers().contains(MeshHeaders.RETRY)
     private val profile =
         CallProfile(
@@ -101,7 +103,8 @@
         headers.set(MeshHeaders.RELEASE, chosen.release.value)
         headers.set(MeshHeaders.CALL, callId)
         headers.set(MeshHeaders.DEADLINE, deadlineMillis - node.settings.hopMarginMillis)
-        // An earlier attempt at the local target has removed this header from the request.
+        // An earlier attempt at the local target has removed these headers from the request.
+        tenant?.let { headers.set(MeshHeaders.TENANT, it.value) }
         node.settings.callerService?.let { headers.set(MeshHeaders.CALLER, it.value) }
         if (attempts > 1) headers.set(MeshHeaders.RETRY, "1")
     }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
@@ -5,6 +5,7 @@
 import dev.baobabhollow.calls.RoutingTable
 import dev.baobabhollow.calls.TargetEndpoint
 import dev.baobabhollow.model.FULL_SHARE_PERMILLE
+import dev.baobabhollow.model.TenantId
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -42,7 +43,33 @@
             node.logUnrouted(downstream.caller.callId, host, path, table.version)
             return refused(downstream, CallFailure.notRun(FailureReason.NO_ROUTE, HttpResponseStatus.NOT_FOUND))
         }
-        return forward(downstream, head, table, route.forCall(ThreadLocalRandom.current().nextDouble()))
+        val tenant =
+            when (val identity = identify(head, table, route)) {
+                Identity.Refused -> return unauthorized(downstream, route, table)
+                is Identity.Accepted -> identity.tenant
+            }
+        return forward(downstream, head, table, route.forCall(ThreadLocalRandom.current().nextDouble()), tenant)
+    }
+
+    /** Checks the key of a request against the configuration in force now, which may be newer than when it was read. */
+    private fun identify(
+        head: HttpRequest,
+        table: RoutingTable,
+        route: Route,
+    ): Identity {
+        if (!table.tenants.isKeyRequired) return Identity.Accepted(null)
+        val identity = table.tenants.identify(protocol.readApiKey(head.headers()), route)
+        protocol.removeCredentials(head.headers())
+        return identity
+    }
+
+    private fun unauthorized(
+        downstream: DownstreamCall,
+        route: Route,
+        table: RoutingTable,
+    ): Exchange {
+        node.logUnauthorized(downstream.caller.callId, route, table.version)
+        return refused(downstream, CallFailure.unauthorized())
     }
 
     private fun hostOf(head: HttpRequest): String? = head.headers().get(HttpHeaderNames.HOST)?.substringBefore(':')
@@ -59,6 +86,7 @@
         head: HttpRequest,
         table: RoutingTable,
         route: Route,
+        tenant: TenantId?,
     ): Exchange {
         val now = node.nowMillis()
         val headers = head.headers()
@@ -86,9 +114,10 @@
         headers.removeHopByHop()
         headers.remove(HttpHeaderNames.EXPECT)
         headers.remove(MeshHeaders.OUTCOME)
+        headers.remove(MeshHeaders.TENANT)
         headers.set(MeshHeaders.HOP, hop)
         val deadlines = CallDeadlines.of(now, deadline, usefulLeftMillis(route, caller, now))
-        return start(downstream, deadlines, head, route, keyOwner, caller.callId)
+        return start(downstream, deadlines, head, route, keyOwner, tenant)
     }
 
     /** Returns the rest of the latency target, counted from the caller's first attempt, which may have been refused. */
@@ -108,10 +137,10 @@
         head: HttpRequest,
         route: Route,
         keyOwner: TargetEndpoint?,
-        callId: String?,
+        tenant: TenantId?,
     ): Exchange {
         val targets = targetsOf(route)
-        val exchange = EntryExchange(node, downstream, deadlines, head, route, targets, keyOwner, callId)
+        val exchange = EntryExchange(node, downstream, deadlines, head, route, targets, keyOwner, tenant)
         exchange.start()
         return exchange
     }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/Headers.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/Headers.kt
@@ -45,6 +45,9 @@
     /** Expected time in milliseconds until a refused call would be admitted, sent between nodes only. */
     val ROOM_IN: AsciiString = AsciiString.cached("x-baobabhollow-room-in")
 
+    /** Tenant of a call, sent between nodes only. */
+    val TENANT: AsciiString = AsciiString.cached("x-baobabhollow-tenant")
+
     /** Idempotency key, issued by a node or made by the caller. */
     val KEY: AsciiString = AsciiString.cached("idempotency-key")
 }
@@ -60,6 +63,7 @@
         MeshHeaders.TIME_LEFT,
         MeshHeaders.USEFUL_LEFT,
         MeshHeaders.CALLER,
+        MeshHeaders.TENANT,
     )
 
 /** Removes the headers that only nodes read, for protocols whose targets do not know them. */
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
@@ -250,6 +250,13 @@
         "event=call_unrouted call=$callId host=$host path=$start version=$version status=404"
     }
 
+    /** Logs a call without a known API key with the configuration [version], to tell an outdated version from a wrong key. */
+    fun logUnauthorized(
+        callId: String?,
+        route: Route,
+        version: Long,
+    ) = callLog.write { "event=call_unauthorized call=$callId route=${route.id} version=$version status=401" }
+
     fun logUnexpected(cause: Throwable) {
         LOG.error("event=proxy_unexpected_error", cause)
     }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/Responses.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/Responses.kt
@@ -28,6 +28,9 @@
         .set(HttpHeaderNames.CONTENT_LENGTH, bodyBytes)
         .set(MeshHeaders.OUTCOME, failure.outcome.text)
         .set(MeshHeaders.REASON, failure.reason.text)
+    if (failure.status == HttpResponseStatus.UNAUTHORIZED) {
+        head.headers().set(HttpHeaderNames.WWW_AUTHENTICATE, "Bearer")
+    }
     failure.loadPermille?.let { head.headers().set(MeshHeaders.LOAD, it) }
     failure.retryAfterMillis?.let { head.headers().set(MeshHeaders.ROOM_IN, it) }
     protocol.writeFailure(head, callId, failure.outcome == CallOutcome.NOT_RUN, failure.retryAfterMillis)
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
@@ -7,6 +7,7 @@
 import dev.baobabhollow.calls.Ticket
 import dev.baobabhollow.model.ReleaseId
 import dev.baobabhollow.model.ServiceId
+import dev.baobabhollow.model.TenantId
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpMethod
@@ -32,6 +33,7 @@
     ResponseListener {
     private val deadlineMillis = deadlines.lastMillis
     private var head: HttpRequest? = null
+    private var tenant: TenantId? = null
     private var key: ClaimedKey? = null
     private var ticket: Ticket? = null
     private var upstream: UpstreamCall? = null
@@ -52,6 +54,7 @@
 
     override fun start(head: HttpRequest) {
         this.head = head
+        tenant = head.headers().get(MeshHeaders.TENANT)?.let(::TenantId)
     }
 
     override fun body(content: HttpContent) {
@@ -162,7 +165,7 @@
         val deadline = deadlineMillis - node.settings.hopMarginMillis
         val left = (deadline - node.nowMillis()).coerceAtLeast(1)
         val caller = request.headers().get(MeshHeaders.CALLER)?.let(::ServiceId)
-        return TargetMetadata(callId, deadline, left, node.self.target?.instance, caller)
+        return TargetMetadata(callId, deadline, left, node.self.target?.instance, caller, tenant)
     }
 
     private fun respondWithStored(response: StoredResponse) {
@@ -213,10 +216,17 @@
 
     /** Writes the remaining time only now, since the call may have waited for a connection. */
     override fun onSending() {
-        head?.let { node.settings.protocol.writeTargetMetadata(it.headers(), targetMetadata(it)) }
+        head?.let(::writeTargetHead)
         node.logDelay(callId, "owner", startMicros - submittedMicros, node.nowMicros() - startMicros)
     }
 
+    /** Removes credentials again, since an entry node with an older configuration may have forwarded them. */
+    private fun writeTargetHead(head: HttpRequest) {
+        val protocol = node.settings.protocol
+        if (tenant != null || node.tables().tenants.isKeyRequired) protocol.removeCredentials(head.headers())
+        protocol.writeTargetMetadata(head.headers(), targetMetadata(head))
+    }
+
     override fun onResponseHead(head: HttpResponse) {
         val code = head.status().code()
         val metadata = checkNotNull(upstream).responseMetadata
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/TestMesh.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/TestMesh.kt
@@ -18,6 +18,8 @@
 import dev.baobabhollow.model.ServiceConfig
 import dev.baobabhollow.model.ServiceId
 import dev.baobabhollow.model.TargetRecord
+import dev.baobabhollow.model.TenantConfig
+import dev.baobabhollow.model.TenantId
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 
 private val SERVICE = ServiceId("pedidos")
@@ -49,13 +51,25 @@
         table = compile()
     }
 
-    private fun compile(): RoutingTable {
+    /** Puts [tenants] in force as a newer version. Calls to the path `/public` need no key. */
+    fun publish(tenants: Map<TenantId, TenantConfig>) {
+        val mesh = config()
+        val exempt = route("/public", isIdempotent = true, CallClass.LOOKUP).copy(isAuthExempt = true)
+        table = compile(mesh.copy(routes = mesh.routes + (RouteId("public") to exempt), tenants = tenants), table)
+    }
+
+    private fun compile(
+        mesh: MeshConfig = config(),
+        previous: RoutingTable? = null,
+    ): RoutingTable {
         val nodes =
             ownerRecords.zip(owners).map { (record, owner) ->
                 record.copy(peerCallEndpoint = at(owner.peerCallPort))
             }
         val view = FleetView(entryRecord.node, (nodes + entryRecord).associateBy { it.node }, 1)
-        return RoutingTable.compile(ConfigurationState(offset = 1, version = 1, mesh = config()), view, emptySet())
+        val version = (previous?.version ?: 0) + 1
+        val state = ConfigurationState(offset = version, version = version, mesh = mesh)
+        return RoutingTable.compile(state, view, emptySet(), previous)
     }
 
     private fun config() =
