Derive from the tenants whether a configuration requires keys

copy() kept a flag that was computed from the old tenants, so that a test mesh with tenants required no keys. Only an empty list of tenants is marked now.

--- a/model/src/main/kotlin/dev/baobabhollow/model/MeshChange.kt
+++ b/model/src/main/kotlin/dev/baobabhollow/model/MeshChange.kt
@@ -5,7 +5,7 @@
 
 /**
  * Difference between two configurations. [members] and [services] are complete if any of their entries differ, and null
- * otherwise. [callerLimits] and [isKeyRequired] are always those of the newer configuration.
+ * otherwise. [callerLimits] and [isTenantListEmpty] are always those of the newer configuration.
  */
 @Serializable
 data class MeshChange(
@@ -16,7 +16,7 @@
     val callerLimits: CallerLimits? = null,
     val putTenants: Map<TenantId, TenantConfig> = emptyMap(),
     val removedTenants: Set<TenantId> = emptySet(),
-    val isKeyRequired: Boolean = false,
+    val isTenantListEmpty: Boolean = false,
 ) {
     /** Number of routes that differ. */
     val routeCount: Int get() = putRoutes.size + removedRoutes.size
@@ -27,7 +27,7 @@
         removedRoutes.forEach(routes::remove)
         routes.putAll(putRoutes)
         val services = services ?: base.services
-        return MeshConfig(members ?: base.members, services, routes, callerLimits, tenantsAfter(base), isKeyRequired)
+        return MeshConfig(members ?: base.members, services, routes, callerLimits, tenantsAfter(base), isTenantListEmpty)
     }
 
     /** Keeps the instance of the map if no tenant differs, so that nodes need not compile its keys again. */
@@ -53,7 +53,7 @@
             callerLimits = next.callerLimits,
             putTenants = changedTenants(base, next),
             removedTenants = base.tenants.keys - next.tenants.keys,
-            isKeyRequired = next.isKeyRequired,
+            isTenantListEmpty = next.isTenantListEmpty,
         )
 
         private fun changedTenants(
--- a/model/src/main/kotlin/dev/baobabhollow/model/MeshConfig.kt
+++ b/model/src/main/kotlin/dev/baobabhollow/model/MeshConfig.kt
@@ -11,9 +11,12 @@
     val routes: Map<RouteId, RouteConfig> = emptyMap(),
     val callerLimits: CallerLimits? = null,
     val tenants: Map<TenantId, TenantConfig> = emptyMap(),
-    /** True if callers must present an API key of one of [tenants], also while there are none. */
-    val isKeyRequired: Boolean = tenants.isNotEmpty(),
+    /** True if the configuration states its tenants and has none, so that no API key is valid. */
+    val isTenantListEmpty: Boolean = false,
 ) {
+    /** True if callers must present an API key of one of [tenants]. */
+    val isKeyRequired: Boolean get() = tenants.isNotEmpty() || isTenantListEmpty
+
     /** Contains the empty configuration. */
     companion object {
         /** The configuration of version 0, without members, services or routes. */
