Carry tenants in changes between versions and hash them incrementally

A version with 100,000 keys must not be sent or hashed as a whole for a change of one route. Changes hold the tenants that differ, replicas keep the instances of equal tenants, and the content hash adds up hashes of tenants and keys, so that one changed key costs less than 5 hashes. validate reports names, limits and duplicate keys with their paths; patches gain putTenant and removeTenant.

--- a/configuration/src/main/kotlin/dev/baobabhollow/configuration/ContentHash.kt
+++ b/configuration/src/main/kotlin/dev/baobabhollow/configuration/ContentHash.kt
@@ -14,9 +14,9 @@
 fun contentHash(state: ConfigurationState): String = ContentHasher().hash(state)
 
 /**
- * Computes [contentHash] incrementally for successive states. It rehashes only the routes that differ from those of the
- * previous state, so that a change of one route among thousands does not cost as much as hashing all of them. Not
- * thread-safe.
+ * Computes [contentHash] incrementally for successive states. It rehashes only the routes, tenants and API keys that
+ * differ from those of the previous state, so that a change of one route among thousands does not cost as much as
+ * hashing all of them. Not thread-safe.
  */
 internal class ContentHasher {
     private var routes: Map<RouteId, RouteConfig> = emptyMap()
@@ -24,22 +24,27 @@
     // Sums of the route hashes: a sum allows one route to be replaced and does not depend on the order of the routes.
     private var sumLow = 0L
     private var sumHigh = 0L
+    private val tenantHasher = TenantHasher()
 
     /** Returns the hash of [state]. */
     fun hash(state: ConfigurationState): String {
-        val withoutRoutes = state.copy(mesh = state.mesh.copy(routes = emptyMap()))
-        return digest("${ModelJson.encodeToString(withoutRoutes)}|${routesText(state.mesh)}")
+        val withoutSums = state.copy(mesh = withoutSummed(state.mesh))
+        return digest("${ModelJson.encodeToString(withoutSums)}|${summedText(state.mesh)}")
     }
 
     /** Returns the hash of [mesh] alone. */
     fun hash(mesh: MeshConfig): String {
-        val withoutRoutes = mesh.copy(routes = emptyMap())
-        return digest("${ModelJson.encodeToString(withoutRoutes)}|${routesText(mesh)}")
+        return digest("${ModelJson.encodeToString(withoutSummed(mesh))}|${summedText(mesh)}")
     }
 
-    private fun routesText(mesh: MeshConfig): String {
+    private fun withoutSummed(mesh: MeshConfig) = mesh.copy(routes = emptyMap(), tenants = emptyMap())
+
+    /** Leaves tenants out if there are none, so that nodes of earlier releases compute the same hash. */
+    private fun summedText(mesh: MeshConfig): String {
         updateRouteSums(mesh.routes)
-        return "${routes.size}:$sumHigh:$sumLow"
+        val routesText = "${routes.size}:$sumHigh:$sumLow"
+        val tenantsText = tenantHasher.hash(mesh.tenants)
+        return if (mesh.tenants.isEmpty()) routesText else "$routesText|$tenantsText"
     }
 
     private fun updateRouteSums(next: Map<RouteId, RouteConfig>) {
--- a/configuration/src/main/kotlin/dev/baobabhollow/configuration/MeshValidation.kt
+++ b/configuration/src/main/kotlin/dev/baobabhollow/configuration/MeshValidation.kt
@@ -16,7 +16,8 @@
     memberErrors(mesh) +
         mesh.services.flatMap { (id, service) -> serviceErrors(mesh, id, service) } +
         mesh.routes.flatMap { (id, route) -> routeErrors(mesh, id, route) } +
-        duplicatePrefixErrors(mesh)
+        duplicatePrefixErrors(mesh) +
+        tenantErrors(mesh)
 
 internal fun identifierErrors(
     path: String,
--- a/configuration/src/main/kotlin/dev/baobabhollow/configuration/PatchApplication.kt
+++ b/configuration/src/main/kotlin/dev/baobabhollow/configuration/PatchApplication.kt
@@ -12,6 +12,8 @@
 import dev.baobabhollow.model.MoveState
 import dev.baobabhollow.model.Patch
 import dev.baobabhollow.model.ServiceId
+import dev.baobabhollow.model.TenantConfig
+import dev.baobabhollow.model.TenantId
 
 /**
  * Returns [state] with all changes of [patch] applied and the next version, or every error found. A patch is applied as
@@ -75,6 +77,15 @@
                 state.withMesh { copy(routes = routes - change.route) }
             }
 
+            is Change.PutTenant -> {
+                state.withTenants(state.mesh.tenants + (change.tenant to change.config))
+            }
+
+            is Change.RemoveTenant -> {
+                checkExists(change.tenant in state.mesh.tenants, "tenant", change.tenant.value)
+                state.withTenants(state.mesh.tenants - change.tenant)
+            }
+
             is Change.StartMove -> {
                 startMove(state, change)
             }
@@ -200,4 +211,7 @@
         }
     }
 
+private fun ConfigurationState.withTenants(tenants: Map<TenantId, TenantConfig>) =
+    withMesh { copy(tenants = tenants, isTenantListEmpty = tenants.isEmpty()) }
+
 private inline fun ConfigurationState.withMesh(change: MeshConfig.() -> MeshConfig) = copy(mesh = mesh.change())
--- a/configuration/src/main/kotlin/dev/baobabhollow/configuration/RecentMeshes.kt
+++ b/configuration/src/main/kotlin/dev/baobabhollow/configuration/RecentMeshes.kt
@@ -6,8 +6,8 @@
 import dev.baobabhollow.model.MeshChange
 import dev.baobabhollow.model.MeshChangeRecord
 import dev.baobabhollow.model.MeshConfig
-import dev.baobabhollow.model.RouteConfig
-import dev.baobabhollow.model.RouteId
+import dev.baobabhollow.model.TenantConfig
+import dev.baobabhollow.model.TenantId
 
 /**
  * Configurations at the most recent offsets, the bases for delta encoding: a peer that holds one of them is sent only
@@ -53,10 +53,25 @@
     }
 }
 
-/** Returns this configuration with each route that equals the one in [base] replaced by the instance in [base]. */
-internal fun MeshConfig.sharing(base: MeshConfig): MeshConfig {
-    if (base.routes.isEmpty()) return this
-    val shared = LinkedHashMap<RouteId, RouteConfig>(routes.size * 2)
-    routes.forEach { (id, route) -> shared[id] = base.routes[id]?.takeIf { it == route } ?: route }
-    return copy(routes = shared)
+/**
+ * Returns this configuration with each route and tenant that equals the one in [base] replaced by the instance in
+ * [base]. If no tenant differs, the map of tenants is that of [base].
+ */
+internal fun MeshConfig.sharing(base: MeshConfig): MeshConfig =
+    copy(routes = sharedEntries(routes, base.routes), tenants = sharedTenants(base))
+
+private fun MeshConfig.sharedTenants(base: MeshConfig): Map<TenantId, TenantConfig> {
+    val shared = sharedEntries(tenants, base.tenants)
+    val isSame = shared.size == base.tenants.size && shared.all { (id, tenant) -> base.tenants[id] === tenant }
+    return if (isSame) base.tenants else shared
+}
+
+private fun <K, V : Any> sharedEntries(
+    entries: Map<K, V>,
+    base: Map<K, V>,
+): Map<K, V> {
+    if (entries.isEmpty() || base.isEmpty()) return entries
+    val shared = LinkedHashMap<K, V>(entries.size * 2)
+    entries.forEach { (id, entry) -> shared[id] = base[id]?.takeIf { it == entry } ?: entry }
+    return shared
 }
--- a/model/src/main/kotlin/dev/baobabhollow/model/Patch.kt
+++ b/model/src/main/kotlin/dev/baobabhollow/model/Patch.kt
@@ -57,6 +57,21 @@
         val route: RouteId,
     ) : Change
 
+    /** Adds or replaces a tenant. From then on, callers must present an API key of a tenant. */
+    @Serializable
+    @SerialName("putTenant")
+    data class PutTenant(
+        val tenant: TenantId,
+        val config: TenantConfig,
+    ) : Change
+
+    /** Removes a tenant and its keys. If it is the last one, no key is valid. */
+    @Serializable
+    @SerialName("removeTenant")
+    data class RemoveTenant(
+        val tenant: TenantId,
+    ) : Change
+
     /** Starts a move of the traffic of a service from its current release to another. */
     @Serializable
     @SerialName("startMove")
