--- a/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
@@ -39,6 +39,8 @@
     private val matchers: RouteMatchers = RouteMatchers(MeshConfig.EMPTY),
     /** Failure domains whose targets get no calls and are not in the table. */
     val evacuatedDomains: Set<FailureDomainId> = emptySet(),
+    /** Tenants and their API keys. */
+    val tenants: TenantTable = TenantTable.EMPTY,
 ) {
     /** Nodes whose targets are in the table. */
     val nodes: Set<NodeId> get() = targets.keys
@@ -128,6 +130,7 @@
                 state.mesh.callerLimits,
                 matchers,
                 state.evacuatedDomains,
+                previous?.tenants?.updatedFor(state.mesh) ?: TenantTable.of(state.mesh),
             )
         }
 
--- a/model/src/main/kotlin/dev/baobabhollow/model/MeshConfig.kt
+++ b/model/src/main/kotlin/dev/baobabhollow/model/MeshConfig.kt
@@ -10,7 +10,13 @@
     val services: Map<ServiceId, ServiceConfig> = emptyMap(),
     val routes: Map<RouteId, RouteConfig> = emptyMap(),
     val callerLimits: CallerLimits? = null,
+    val tenants: Map<TenantId, TenantConfig> = emptyMap(),
+    /** True if the configuration states its tenants and has none, so that no API key is valid. */
+    val isTenantListEmpty: Boolean = false,
 ) {
+    /** True if callers must present an API key of one of [tenants]. */
+    val isKeyRequired: Boolean get() = tenants.isNotEmpty() || isTenantListEmpty
+
     /** Contains the empty configuration. */
     companion object {
         /** The configuration of version 0, without members, services or routes. */
@@ -105,6 +111,8 @@
     val targetLatencyMillis: Long? = null,
     /** Priority at admission, where 0 is the highest; null means the priority of [callClass]. */
     val priority: Int? = null,
+    /** True if calls without an API key are accepted although the configuration requires one. */
+    val isAuthExempt: Boolean = false,
 )
 
 /** One service of a weighted split. It receives [weight] out of the sum of all weights of the calls on the route. */
