Serve the tenants of one rank in turn at the owner

A tenant that sends many times its usual calls filled the owner's queue and displaced those of the others. The queue now takes turns between tenants, and the estimate of the wait counts only what is served before a call. The tenant's priority precedes that of the route.

Result: TenantFairnessSpec and the Admission specs pass. Mutations that use one queue, count all calls ahead, evict from another tenant, remove the floor or never forget a tenant are detected.

--- a/calls/src/main/kotlin/dev/baobabhollow/calls/Admission.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/Admission.kt
@@ -3,6 +3,7 @@
 import dev.baobabhollow.model.CallClass
 import dev.baobabhollow.model.MemberId
 import dev.baobabhollow.model.RouteId
+import dev.baobabhollow.model.TenantId
 
 /** Reason for which a call got no slot. The request was not sent to the target. */
 enum class Refusal {
@@ -34,6 +35,7 @@
     val deadlineMillis: Long,
     val rank: Int = callClass.ordinal,
     val usefulUntilMillis: Long = deadlineMillis,
+    val tenant: TenantId? = null,
 )
 
 /**
@@ -55,13 +57,14 @@
 
 /**
  * Limits concurrent calls to one target on its owner node to the target's slots. Further calls wait in a bounded queue
- * that serves lookups before uploads and is fair between members and between the routes of a member. Thread-safe.
+ * that serves lookups before uploads and is fair between tenants, members and the routes of a member. Thread-safe.
  */
 class Admission(
     private val settings: AdmissionSettings,
     slots: Int,
 ) {
-    private val queue = FairQueue()
+    private val tenantShares = TenantShares()
+    private val queue = FairQueue(tenantShares)
 
     /** Calls that will end after their useful time. They get slots only while [queue] has no call for them. */
     private val lateQueue = FairQueue()
@@ -100,6 +103,7 @@
         val ticket = Ticket(request, onDecision)
         val decisions = Decisions()
         synchronized(this) {
+            tenantShares.recordCall(request.tenant)
             val refusal = refusalOf(request, nowMillis)
             if (refusal != null) refuse(ticket, refusal, decisions) else enqueue(ticket, nowMillis, decisions)
             grant(nowMicros, nowMillis, decisions)
@@ -237,6 +241,7 @@
                 continue
             }
             rankShares.record(ticket.request.rank)
+            tenantShares.recordGrant(ticket.request.tenant)
             slotsInUse++
             if (ticket.request.callClass == CallClass.UPLOAD) uploadsInUse++
             ticket.state = TicketState.HOLDING
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
@@ -103,11 +103,14 @@
             route = route.id,
             callClass = config.callClass,
             deadlineMillis = deadlineMillis,
-            rank = config.priority ?: config.callClass.ordinal,
+            rank = tenantPriority() ?: config.priority ?: config.callClass.ordinal,
             usefulUntilMillis = deadlines.usefulMillis,
+            tenant = tenant,
         )
     }
 
+    private fun tenantPriority(): Int? = tenant?.let { node.tables().tenants.configs[it]?.priority }
+
     private fun onDecided(refusal: Refusal?) {
         if (isEnded) return
         if (refusal != null) {
