--- a/calls/src/main/kotlin/dev/baobabhollow/calls/QuotaAllocator.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/QuotaAllocator.kt
@@ -83,6 +83,6 @@
          * Time for a change of the live nodes to reach all nodes of a failure domain. It is longer than the life of a
          * token.
          */
-        const val SETTLE_MILLIS = 2_000L
+        const val SETTLE_MILLIS = 1_000L
     }
 }
