Carry questions and answers about quotas in short datagrams

A request waits for the answer, so it must not wait for a tick of the control thread, and at the planned size such datagrams are the most frequent ones.

--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlane.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlane.kt
@@ -96,6 +96,12 @@
     /** Queues call outcomes of the own target. Returns false if the ring is full. */
     fun observe(summary: OutcomeSummary): Boolean = summaries.offer(summary)
 
+    /** Sends [message] in a datagram to the control endpoint [to]. It may be lost. */
+    fun sendQuotaMessage(
+        to: Endpoint,
+        message: QuotaMessage,
+    ) = transport.send(to, QuotaCodec.encode(message))
+
     /** Announces the status of the own target to all nodes. */
     fun announceTarget(status: TargetStatus): Boolean =
         changeSelf { record -> record.copy(target = record.target?.copy(status = status)) }
@@ -167,6 +173,11 @@
     private inner class EventHandler : PeerHandler {
         override fun onDatagram(datagram: PeerDatagram) = post(ControlEvent.DatagramArrived(datagram))
 
+        override fun onQuotaMessage(
+            message: QuotaMessage,
+            from: Endpoint,
+        ) = callbacks.onQuotaMessage(message, from)
+
         override fun onRequest(
             frame: PeerFrame,
             reply: (PeerFrame) -> Unit,
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/PeerTransport.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/PeerTransport.kt
@@ -12,6 +12,7 @@
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.SocketAddress
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.awaitClosed
 import io.ktor.network.sockets.openReadChannel
@@ -46,6 +47,11 @@
 internal interface PeerHandler {
     fun onDatagram(datagram: PeerDatagram)
 
+    fun onQuotaMessage(
+        message: QuotaMessage,
+        from: Endpoint,
+    )
+
     /** Must call [reply] at most once; a request without a reply times out. */
     fun onRequest(
         frame: PeerFrame,
@@ -130,12 +136,30 @@
 
     private suspend fun receiveDatagrams(socket: BoundDatagramSocket) =
         repeatUntilCancelled {
-            val bytes = socket.receive().packet.readByteArray()
+            val datagram = socket.receive()
+            val bytes = datagram.packet.readByteArray()
             metrics.countReceived(UDP, bytes.size)
+            if (QuotaCodec.isQuotaMessage(bytes)) return@repeatUntilCancelled receiveQuota(bytes, datagram.address)
             if (bytes.size > settings.maxDatagramBytes) return@repeatUntilCancelled metrics.countIgnored("too long")
             PeerCodec.decodeDatagram(bytes).fold(handler::onDatagram) { metrics.countIgnored("garbage") }
         }
 
+    private fun receiveQuota(
+        bytes: ByteArray,
+        address: SocketAddress,
+    ) {
+        val message = QuotaCodec.decode(bytes)
+        val from = (address as? InetSocketAddress)?.let(::endpointOf)
+        if (message == null || from == null) return metrics.countIgnored("garbage")
+        handler.onQuotaMessage(message, from)
+    }
+
+    /** Reads the bytes of the address, because its host name would be looked up. */
+    private fun endpointOf(address: InetSocketAddress): Endpoint? {
+        val bytes = address.resolveAddress() ?: return null
+        return Endpoint(bytes.joinToString(".") { it.toUByte().toString() }, address.port)
+    }
+
     private suspend fun sendDatagrams(socket: BoundDatagramSocket) =
         repeatUntilCancelled {
             val next = outgoing.receive()
