Let requests wait for a token of their tenant's quota

Requests over a quota must get 429 before they reach a target, and the decision can take a round trip. A request that the mesh refuses as not run gives its token back.

--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallFailure.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallFailure.kt
@@ -30,6 +30,8 @@
     NOT_READY("not-ready"),
     NO_ROUTE("no-route"),
     UNAUTHORIZED("unauthorized"),
+    OVER_QUOTA("over-quota"),
+    QUOTA_UNKNOWN("quota-unknown"),
     NO_TARGET("no-target"),
     DRAINING("draining", CallHealth.NO_CONNECTION),
     OVERLOADED("overloaded"),
@@ -90,6 +92,15 @@
         /** Refusal of a call without a key, or with one that the configuration does not contain. */
         fun unauthorized() = notRun(FailureReason.UNAUTHORIZED, HttpResponseStatus.UNAUTHORIZED)
 
+        /** Refusal of a call whose tenant has used its quota; a token is expected after [retryAfterMillis]. */
+        fun overQuota(retryAfterMillis: Long) =
+            notRun(FailureReason.OVER_QUOTA, HttpResponseStatus.TOO_MANY_REQUESTS)
+                .copy(retryAfterMillis = retryAfterMillis)
+
+        /** Refusal of a call while no node that allocates its tenant's quota can be reached. */
+        fun quotaUnknown(retryAfterMillis: Long) =
+            notRun(FailureReason.QUOTA_UNKNOWN).copy(retryAfterMillis = retryAfterMillis)
+
         fun deadlinePassed(mayHaveRun: Boolean) =
             CallFailure(
                 HttpResponseStatus.GATEWAY_TIMEOUT,
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamCall.kt
@@ -56,6 +56,9 @@
     /** Refusal of a request that was read and could not be held, or null. */
     var refusal: CallFailure? = null
 
+    /** Called once if the call ends with a refusal that states that it has not run, or null. */
+    var onNotRun: (() -> Unit)? = null
+
     /** Estimated memory of the head and of the objects of the call, in bytes. */
     val headBytes: Long = CALL_BYTES + head.uri().length + estimatedBytes(head.headers())
 
@@ -163,6 +166,8 @@
     fun writeFailureResponse(failure: CallFailure) {
         if (isResponseSent) return closeAbruptly()
         dropBuffer()
+        if (failure.outcome == CallOutcome.NOT_RUN) onNotRun?.invoke()
+        onNotRun = null
         if (failure.status.code() < SERVER_ERRORS && !isRequestDone) isKeptAlive = false
         val body = failureBody(failure)
         writeResponseHead(failureHead(failure, body.content().readableBytes(), caller.callId, protocol))
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
@@ -140,9 +140,11 @@
         tenant: TenantId?,
     ): Exchange {
         val targets = targetsOf(route)
-        val exchange = EntryExchange(node, downstream, deadlines, head, route, targets, keyOwner, tenant)
-        exchange.start()
-        return exchange
+        val forward = {
+            EntryExchange(node, downstream, deadlines, head, route, targets, keyOwner, tenant).apply { start() }
+        }
+        val quota = tenant?.let(node.quotas::keyOf) ?: return forward()
+        return QuotaExchange(node, downstream, quota, deadlines.lastMillis, forward).start()
     }
 
     private fun maxBodyBytes(table: RoutingTable) =
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
@@ -30,6 +30,7 @@
     val recorder: OutcomeRecorder,
     val claims: KeyClaims,
     val metrics: ProxyMetrics,
+    val quotas: CallQuotas = NoCallQuotas,
 ) {
     @Volatile
     var self: NodeRecord = self
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
@@ -38,8 +38,9 @@
     private val recorder: OutcomeRecorder,
     claims: KeyClaims,
     metrics: ProxyMetrics,
+    quotas: CallQuotas = NoCallQuotas,
 ) : AutoCloseable {
-    internal val node = NodeCore(settings, self, tables, targetEndpoint, nowMillis, recorder, claims, metrics)
+    internal val node = NodeCore(settings, self, tables, targetEndpoint, nowMillis, recorder, claims, metrics, quotas)
     private val group =
         MultiThreadIoEventLoopGroup(settings.eventLoops, DefaultThreadFactory("proxy"), NioIoHandler.newFactory())
     private val connections: ChannelGroup = DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true)
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/TestMesh.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/TestMesh.kt
@@ -37,6 +37,7 @@
     private val claims: KeyClaims = NoKeyClaims,
     private val nowMillis: () -> Long = System::currentTimeMillis,
     private val entryNowMillis: () -> Long = nowMillis,
+    private val quotas: CallQuotas = NoCallQuotas,
 ) : AutoCloseable {
     @Volatile
     var table: RoutingTable = RoutingTable.EMPTY
@@ -103,7 +104,7 @@
     ): ProxyServer {
         val metrics = ProxyMetrics(PrometheusRegistry())
         val clock = if (target == null) entryNowMillis else nowMillis
-        return ProxyServer(settings, record, { table }, target, clock, OutcomeRecorder(), claims, metrics)
+        return ProxyServer(settings, record, { table }, target, clock, OutcomeRecorder(), claims, metrics, quotas)
     }
 
     override fun close() {
