--- a/calls/src/main/kotlin/dev/baobabhollow/calls/QuotaFleet.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/QuotaFleet.kt
@@ -23,6 +23,8 @@
 ) {
     private val allocators = ConcurrentHashMap<Pair<QuotaKey, FailureDomainId>, NodeId>()
 
+    private val nodes: Map<NodeId, NodeRecord> =
+        HashMap<NodeId, NodeRecord>().apply { live.values.forEach { putAll(it) } }
     private val otherDomains = live.keys.filter { it != ownDomain }.sortedBy { it.value }
 
     /**
@@ -35,6 +37,9 @@
         return listOf(ownDomain) + otherDomains.drop(first) + otherDomains.take(first)
     }
 
+    /** Returns the record of the live [node], or null if it is not known. */
+    fun nodeOf(node: NodeId): NodeRecord? = nodes[node]
+
     /** Returns the node that allocates the tokens of [key] in [domain], or null if no node there is live. */
     fun allocatorOf(
         key: QuotaKey,
@@ -53,7 +58,7 @@
      * disappeared, the node is probably on one side of a partition, and the other side allocates too: then the part is
      * that of the remaining nodes.
      */
-    internal fun domainShare(nowMillis: Long): Double {
+    fun domainShare(nowMillis: Long): Double {
         val count = live[ownDomain].orEmpty().size
         val isWhole = nowMillis >= peakUntilMillis || count >= peak * WHOLE_SHARE
         return if (isWhole) 1.0 else count.toDouble() / peak
--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -3,6 +3,7 @@
 import dev.baobabhollow.calls.RoutingTable
 import dev.baobabhollow.membership.FleetView
 import dev.baobabhollow.model.ConfigurationState
+import dev.baobabhollow.model.FailureDomainId
 import dev.baobabhollow.model.MonotonicClock
 import dev.baobabhollow.model.MoveId
 import dev.baobabhollow.model.NodeId
@@ -14,6 +15,7 @@
 import dev.baobabhollow.peers.ControlPlane
 import dev.baobabhollow.peers.ControlPlaneSettings
 import dev.baobabhollow.platformlog.HttpPlatformLog
+import dev.baobabhollow.proxy.NoCallQuotas
 import dev.baobabhollow.proxy.NoKeyClaims
 import dev.baobabhollow.proxy.OutcomeRecorder
 import dev.baobabhollow.proxy.ProxyMetrics
@@ -58,11 +60,11 @@
     private val keyClaims = logClaims?.let { NodeKeyClaims(self, ::incarnation, it, nowMillis) } ?: NoKeyClaims
     private val healthMonitor = settings.target?.let { TargetHealthMonitor(it, control::announceTarget) }
     private val scheduler =
-        Executors.newSingleThreadScheduledExecutor {
-            Thread(
-                it,
-                "duties",
-            ).apply { isDaemon = true }
+        Executors.newSingleThreadScheduledExecutor { Thread(it, "duties").apply { isDaemon = true } }
+    private val quotas: NodeQuotas? =
+        settings.quotas?.let { quotas ->
+            val after = { millis: Long, task: () -> Unit -> scheduler.schedule(task, millis, TimeUnit.MILLISECONDS) }
+            NodeQuotas(quotaSettings(quotas), self, nowMillis, control::sendQuotaMessage, after, ::dropsControl)
         }
     private val proxyMetrics = ProxyMetrics(registry)
     private val operatorGroup = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
@@ -75,13 +77,7 @@
         )
     private val announcements =
         settings.announcedTarget?.let {
-            AnnouncementHandler(
-                it,
-                adapter,
-                nowMillis,
-                ::applyTarget,
-                ::confirmTarget,
-            )
+            AnnouncementHandler(it, adapter, nowMillis, ::applyTarget, ::confirmTarget)
         }
     private val targetDiscovery =
         announcements?.let {
@@ -94,18 +90,14 @@
         }
 
     init {
-        metrics.gauge(
-            "ready",
-            "1 if the node lacks nothing to take calls",
-        ) { if (snapshot().lacking.isEmpty()) 1 else 0 }
+        metrics.gauge("ready", "1 if the node lacks nothing to take calls") { 1 - minOf(1, snapshot().lacking.size) }
         metrics.gauge("calls_in_flight", "Calls in flight on both ports") { proxy?.inFlight ?: 0 }
-        metrics.gauge("target_load_permille", "Load of the own target in permille of its slots") {
-            proxy?.loadPermille
-                ?: 0
-        }
+        val loadHelp = "Load of the own target in permille of its slots"
+        metrics.gauge("target_load_permille", loadHelp) { proxy?.loadPermille ?: 0 }
         metrics.gauge("held_bytes", "Memory that calls and connections hold, in bytes") { proxy?.heldBytes ?: 0L }
         metrics.gauge("open_connections", "Open connections of callers and entry nodes") { proxy?.openConnections ?: 0 }
         logClaims?.let { metrics.claims(it.counters) }
+        quotas?.let(metrics::quotas)
     }
 
     @Volatile
@@ -130,6 +122,7 @@
                 recorder = OutcomeRecorder(),
                 claims = keyClaims,
                 metrics = proxyMetrics,
+                quotas = quotas ?: NoCallQuotas,
             )
         control.start()
         platformServers.forEach { it.start() }
@@ -238,10 +231,13 @@
                 ControlCallbacks(
                     judgeFor = { move, _ -> MemberJudge(move, { control.state }, settings.members) },
                     onChange = ::applyChange,
-                    dropsControl = { it in faults.faults.dropControl },
+                    dropsControl = ::dropsControl,
+                    onQuotaMessage = { message, from -> quotas?.receive(message, from) },
                 ),
         )
 
+    private fun dropsControl(domain: FailureDomainId): Boolean = domain in faults.faults.dropControl
+
     private fun operatorRoutes(registry: PrometheusRegistry) =
         OperatorRoutes(
             settings = settings,
@@ -270,6 +266,7 @@
         table.set(next)
         versionTimes.record(state.version, nowMillis())
         verdicts.update(state)
+        quotas?.update(state.mesh.tenants, view)
         proxy?.forgetAbsent(next)
         // An announced target is known here before the view contains it, and the view must not restore the previous
         // target.
--- a/node/src/main/kotlin/dev/baobabhollow/node/NodeMetrics.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/NodeMetrics.kt
@@ -61,6 +61,17 @@
             }.register(registry)
     }
 
+    /** Registers the counts of [quotas]. */
+    fun quotas(quotas: NodeQuotas) {
+        gauge("quota_allocated_tenants", "Tenants whose tokens this node allocates") { quotas.allocatedTenants }
+        CounterWithCallback
+            .builder()
+            .name("baobabhollow_quota_questions")
+            .help("Questions for tokens that this node has sent to others")
+            .callback { it.call(quotas.questions.toDouble()) }
+            .register(registry)
+    }
+
     private companion object {
         const val MILLIS_PER_SECOND = 1_000.0
     }
--- /dev/null
+++ b/node/src/main/kotlin/dev/baobabhollow/node/NodeQuotas.kt
@@ -0,0 +1,161 @@
+package dev.baobabhollow.node
+
+import dev.baobabhollow.calls.QuotaAllocator
+import dev.baobabhollow.calls.QuotaAnswer
+import dev.baobabhollow.calls.QuotaDecision
+import dev.baobabhollow.calls.QuotaFleet
+import dev.baobabhollow.calls.QuotaFleetTracker
+import dev.baobabhollow.calls.QuotaKey
+import dev.baobabhollow.calls.QuotaLimit
+import dev.baobabhollow.calls.QuotaQuestion
+import dev.baobabhollow.calls.QuotaSettings
+import dev.baobabhollow.calls.QuotaStock
+import dev.baobabhollow.calls.QuotaToken
+import dev.baobabhollow.calls.QuotaWaiter
+import dev.baobabhollow.membership.FleetView
+import dev.baobabhollow.model.Endpoint
+import dev.baobabhollow.model.FailureDomainId
+import dev.baobabhollow.model.NodeRecord
+import dev.baobabhollow.model.TenantConfig
+import dev.baobabhollow.model.TenantId
+import dev.baobabhollow.peers.QuotaMessage
+import dev.baobabhollow.proxy.CallQuotas
+import java.util.concurrent.RejectedExecutionException
+import java.util.concurrent.ThreadLocalRandom
+import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicLong
+
+/**
+ * Quotas at one node: allocates tokens for other nodes, and takes tokens for the requests of its own callers. Does
+ * nothing while no tenant of the configuration has a limit.
+ *
+ * [send] sends a datagram to a control endpoint, [schedule] runs a task once after some milliseconds, and [isDropped]
+ * is true for failure domains that fault injection cuts off. Thread-safe.
+ */
+internal class NodeQuotas(
+    private val settings: QuotaSettings,
+    private val self: NodeRecord,
+    private val nowMillis: () -> Long,
+    private val send: (Endpoint, QuotaMessage) -> Unit,
+    private val schedule: (Long, () -> Unit) -> Any,
+    private val isDropped: (FailureDomainId) -> Boolean,
+) : CallQuotas {
+    private class Limits(
+        val keys: Map<TenantId, QuotaKey>,
+        val tenants: Map<TenantId, TenantConfig>,
+    )
+
+    private val allocator = QuotaAllocator(settings)
+    private val stock =
+        QuotaStock(settings, ThreadLocalRandom.current().nextInt(), ::sendQuestion)
+    private val isScheduled = AtomicBoolean()
+    private val sentQuestions = AtomicLong()
+
+    @Volatile
+    private var tracker: QuotaFleetTracker? = null
+
+    @Volatile
+    private var limits = Limits(emptyMap(), emptyMap())
+
+    @Volatile
+    private var nodesByEndpoint: Map<Endpoint, NodeRecord> = emptyMap()
+    private var fleet: QuotaFleet? = null
+
+    /** Number of questions sent to other nodes. */
+    val questions: Long get() = sentQuestions.get()
+
+    /** Number of tenants for which this node has allocated tokens. */
+    val allocatedTenants: Int get() = allocator.size
+
+    /** Applies a configuration and a view of the fleet. Call it on one thread at a time. */
+    fun update(
+        tenants: Map<TenantId, TenantConfig>,
+        view: FleetView,
+    ) {
+        if (tenants !== limits.tenants) applyLimits(tenants)
+        if (limits.keys.isEmpty()) return
+        val now = nowMillis()
+        val current = tracker ?: QuotaFleetTracker(settings, self.node, self.failureDomain, now).also { tracker = it }
+        val next = current.update(view, now)
+        if (next !== fleet) applyFleet(next)
+    }
+
+    private fun applyLimits(tenants: Map<TenantId, TenantConfig>) {
+        val limited = tenants.filterValues { (it.ratePerSecond ?: 0.0) > 0 }
+        val keys = limited.mapValues { QuotaKey.of(it.key.value) }
+        allocator.updateLimits(
+            limited.entries.associate { (tenant, config) ->
+                keys.getValue(tenant) to QuotaLimit(config.ratePerSecond ?: 0.0, config.burst ?: 0.0)
+            },
+        )
+        limits = Limits(keys, tenants)
+    }
+
+    private fun applyFleet(next: QuotaFleet) {
+        val now = nowMillis()
+        val before = fleet
+        fleet = next
+        nodesByEndpoint = next.live.values.flatMap { it.values }.associateBy { it.controlEndpoint }
+        allocator.updateFleet(next)
+        stock.updateFleet(next)
+        if (before?.domains == next.domains && before.domainShare(now) == next.domainShare(now)) return
+        EventLog.write("quota_share_changed", "domains" to next.domains, "domainShare" to next.domainShare(now))
+    }
+
+    /** Handles a [message] from the control endpoint [from]. */
+    fun receive(
+        message: QuotaMessage,
+        from: Endpoint,
+    ) {
+        val sender = nodesByEndpoint[from]
+        if (sender != null && isDropped(sender.failureDomain)) return
+        when (message) {
+            is QuotaMessage.Question -> {
+                val answer = allocator.ask(QuotaKey(message.key), message.wanted, nowMillis())
+                send(from, QuotaMessage.Answer(message.id, answer.granted, answer.retryMillis, answer.isAllocator))
+            }
+
+            is QuotaMessage.Answer -> {
+                val answer = QuotaAnswer(message.granted, message.retryMillis, message.isAllocator)
+                sender?.let { stock.answer(message.id, it.node, answer, nowMillis()) }
+            }
+        }
+    }
+
+    override fun keyOf(tenant: TenantId): QuotaKey? = limits.keys[tenant]
+
+    override fun take(
+        key: QuotaKey,
+        onWait: (QuotaWaiter) -> Unit,
+        decide: (QuotaDecision) -> Unit,
+    ): QuotaDecision? = stock.take(key, nowMillis(), onWait, decide)
+
+    override fun giveBack(token: QuotaToken) = stock.giveBack(token, nowMillis())
+
+    private fun sendQuestion(question: QuotaQuestion) {
+        if (question.to == self.node) {
+            val answer = allocator.ask(question.key, question.wanted, nowMillis())
+            return stock.answer(question.id, self.node, answer, nowMillis())
+        }
+        scheduleAdvance()
+        val node = tracker?.fleet?.nodeOf(question.to) ?: return
+        if (isDropped(node.failureDomain)) return
+        sentQuestions.incrementAndGet()
+        send(node.controlEndpoint, QuotaMessage.Question(question.id, question.key.bits, question.wanted))
+    }
+
+    /** Runs [QuotaStock.advance] periodically while questions are open, and not otherwise. */
+    private fun scheduleAdvance() {
+        if (!isScheduled.compareAndSet(false, true)) return
+        try {
+            schedule(QuotaStock.ADVANCE_MILLIS) {
+                isScheduled.set(false)
+                stock.advance(nowMillis())
+                if (stock.isAsking) scheduleAdvance()
+            }
+        } catch (_: RejectedExecutionException) {
+            // The node stops, which ends the calls that wait.
+            isScheduled.set(false)
+        }
+    }
+}
--- a/node/src/main/kotlin/dev/baobabhollow/node/NodeSettings.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/NodeSettings.kt
@@ -14,7 +14,7 @@
  * [seeds] are control endpoints of other nodes; [platformLog] is the endpoint of the platform log. Without a [target]
  * or an [announcedTarget] the node only forwards calls to other nodes. [platform] selects the protocols of the log, of
  * callers and of targets; [readiness] is the endpoint of the platform's readiness probe. [members] overrides values of
- * the members' move policies. [faultInjection] enables `POST /faults` at the operator port.
+ * the members' move policies. Without [quotas], the limits of tenants are not enforced. [faultInjection] enables `POST /faults` at the operator port.
  */
 @Serializable
 data class NodeSettings(
@@ -31,6 +31,7 @@
     val announcedTarget: AnnouncedTargetSettings? = null,
     val readiness: EndpointText? = null,
     val retries: RetrySettings? = null,
+    val quotas: QuotaLimitSettings? = null,
 )
 
 /** Platform that a node can run on. */
@@ -67,6 +68,19 @@
     val slack: Double? = null,
 )
 
+/**
+ * Bound on the requests of a tenant over all nodes: in any [windowSeconds], at most (rate * window + burst) *
+ * (1 + [overShare]) + [slack] reach a target. [failureDomains] is the number of failure domains that a node assumes
+ * until it knows more.
+ */
+@Serializable
+data class QuotaLimitSettings(
+    val windowSeconds: Double = 5.0,
+    val overShare: Double = 0.1,
+    val slack: Double = 20.0,
+    val failureDomains: Int = 3,
+)
+
 /**
  * Endpoints that a node listens on: [callers] for calls from clients, [peerCalls] for calls from other nodes,
  * [control] (UDP and TCP) for the control plane and [operator] for operators.
--- a/node/src/main/kotlin/dev/baobabhollow/node/PlatformTuning.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/PlatformTuning.kt
@@ -3,6 +3,7 @@
 import dev.baobabhollow.calls.AdmissionSettings
 import dev.baobabhollow.calls.OutlierSettings
 import dev.baobabhollow.calls.PickerSettings
+import dev.baobabhollow.calls.QuotaSettings
 import dev.baobabhollow.calls.RetryBudgetSettings
 import dev.baobabhollow.calls.SelectionPolicy
 import dev.baobabhollow.membership.MembershipSettings
@@ -84,6 +85,9 @@
     return copy(maxConnections = minOf(maxConnections, files / CONNECTION_FILES_DIVISOR))
 }
 
+internal fun quotaSettings(quotas: QuotaLimitSettings) =
+    QuotaSettings(quotas.windowSeconds, quotas.overShare, quotas.slack, quotas.failureDomains)
+
 internal fun controlSettings(settings: NodeSettings): ControlPlaneSettings {
     val base = ControlPlaneSettings(seeds = settings.seeds)
     if (settings.platform == PlatformKind.OWN) return base
--- a/node/src/main/kotlin/dev/baobabhollow/node/SettingsValidation.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/SettingsValidation.kt
@@ -15,6 +15,7 @@
         addAll(limitErrors(settings.limits))
         addAll(announcedErrors(settings))
         settings.retries?.let { addAll(retryErrors(it)) }
+        settings.quotas?.let { addAll(quotaErrors(it)) }
     }
 
 private fun announcedErrors(settings: NodeSettings): List<ConfigError> =
@@ -38,6 +39,14 @@
         retries.slack?.let { if (it < 0) add(ConfigError("$.retries.slack", "$it", "0 or more")) }
     }
 
+private fun quotaErrors(quotas: QuotaLimitSettings): List<ConfigError> =
+    buildList {
+        if (quotas.windowSeconds <= 0) add(ConfigError("$.quotas.windowSeconds", "${quotas.windowSeconds}", "more than 0"))
+        if (quotas.overShare < 0) add(ConfigError("$.quotas.overShare", "${quotas.overShare}", "0 or more"))
+        if (quotas.slack < 0) add(ConfigError("$.quotas.slack", "${quotas.slack}", "0 or more"))
+        addAll(atLeastOne("$.quotas.failureDomains", quotas.failureDomains.toLong()))
+    }
+
 private fun identifier(
     path: String,
     value: String,
