Count and log quota decisions, and check the rendered settings

Operators see by tenant what was granted and refused: 100 tenants by name, the rest in one row. The template of the settings is rendered in a test with and without the platform's quota values.

--- a/node/src/main/kotlin/dev/baobabhollow/node/NodeMetrics.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/NodeMetrics.kt
@@ -70,6 +70,13 @@
             .help("Questions for tokens that this node has sent to others")
             .callback { it.call(quotas.questions.toDouble()) }
             .register(registry)
+        CounterWithCallback
+            .builder()
+            .name("baobabhollow_quota_requests")
+            .help("Requests of tenants with a limit by decision; tenants beyond the first 100 have an empty name")
+            .labelNames("tenant", "result")
+            .callback { call -> quotas.counts.forEach { count, tenant, result -> call.call(count.toDouble(), tenant, result) } }
+            .register(registry)
     }
 
     private companion object {
--- a/node/src/main/kotlin/dev/baobabhollow/node/NodeQuotas.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/NodeQuotas.kt
@@ -42,6 +42,7 @@
 ) : CallQuotas {
     private class Limits(
         val keys: Map<TenantId, QuotaKey>,
+        val names: Map<QuotaKey, String>,
         val tenants: Map<TenantId, TenantConfig>,
     )
 
@@ -55,12 +56,15 @@
     private var tracker: QuotaFleetTracker? = null
 
     @Volatile
-    private var limits = Limits(emptyMap(), emptyMap())
+    private var limits = Limits(emptyMap(), emptyMap(), emptyMap())
 
     @Volatile
     private var nodesByEndpoint: Map<Endpoint, NodeRecord> = emptyMap()
     private var fleet: QuotaFleet? = null
 
+    /** Decisions on requests of this node's callers. */
+    val counts = QuotaCounts()
+
     /** Number of questions sent to other nodes. */
     val questions: Long get() = sentQuestions.get()
 
@@ -88,7 +92,7 @@
                 keys.getValue(tenant) to QuotaLimit(config.ratePerSecond ?: 0.0, config.burst ?: 0.0)
             },
         )
-        limits = Limits(keys, tenants)
+        limits = Limits(keys, keys.entries.associate { it.value to it.key.value }, tenants)
     }
 
     private fun applyFleet(next: QuotaFleet) {
@@ -128,7 +132,21 @@
         key: QuotaKey,
         onWait: (QuotaWaiter) -> Unit,
         decide: (QuotaDecision) -> Unit,
-    ): QuotaDecision? = stock.take(key, nowMillis(), onWait, decide)
+    ): QuotaDecision? {
+        val now = stock.take(key, nowMillis(), onWait) { later ->
+            count(key, later)
+            decide(later)
+        }
+        now?.let { count(key, it) }
+        return now
+    }
+
+    private fun count(
+        key: QuotaKey,
+        decision: QuotaDecision,
+    ) {
+        limits.names[key]?.let { counts.count(it, decision) }
+    }
 
     override fun giveBack(token: QuotaToken) = stock.giveBack(token, nowMillis())
 
--- a/node/src/test/kotlin/dev/baobabhollow/node/NodeQuotasSpec.kt
+++ b/node/src/test/kotlin/dev/baobabhollow/node/NodeQuotasSpec.kt
@@ -50,6 +50,8 @@
                 admitted shouldBeInRange 11..13
                 fleet.sent.size shouldBeGreaterThan 0
                 fleet.quotas.values.sumOf { it.allocatedTenants } shouldBe 1
+                fleet.counted("granted") shouldBe admitted
+                fleet.counted("over-quota") shouldBe 100 - admitted
             }
 
             it("deny with the time until a token is expected, and admit then") {
@@ -76,6 +78,20 @@
                 fleet.sent.shouldBeEmpty()
             }
 
+            // Time series of each of thousands of tenants would fill the memory of the monitoring.
+            it("name at most 100 tenants in their counts") {
+                val counts = QuotaCounts()
+                repeat(1_000) { counts.count("t$it", QuotaDecision.Denied(1)) }
+                val names = mutableSetOf<String>()
+                var sum = 0L
+                counts.forEach { count, tenant, _ ->
+                    names += tenant
+                    sum += count
+                }
+                names.size shouldBe 101
+                sum shouldBe 1_000
+            }
+
             // A node that stops refuses new tasks while its event loops still run.
             it("survive a scheduler that has stopped") {
                 val fleet = Fleet(3).apply { update(LIMITED) }
@@ -104,6 +120,12 @@
             }
         }
 
+        fun counted(result: String): Int {
+            var sum = 0L
+            quotas.values.forEach { it.counts.forEach { count, _, name -> if (name == result) sum += count } }
+            return sum.toInt()
+        }
+
         fun request(index: Int): QuotaDecision? {
             val node = quotas.values.elementAt(index)
             val key = checkNotNull(node.keyOf(ANA))
--- a/node/src/test/kotlin/dev/baobabhollow/node/SettingsSpec.kt
+++ b/node/src/test/kotlin/dev/baobabhollow/node/SettingsSpec.kt
@@ -65,6 +65,17 @@
                 settings.limits.stopWithinSeconds shouldBe 6.0
             }
 
+            it("reads quotas, and states every error in them with its path") {
+                val quotas = """"quotas":{"overShare":0.1,"slack":20,"windowSeconds":5},"limits":"""
+                val settings = parseSettings(RENDERED_SETTINGS.replace("\"limits\":", quotas)).unwrap()
+                settings.quotas shouldBe QuotaLimitSettings(windowSeconds = 5.0, overShare = 0.1, slack = 20.0)
+                parseSettings(RENDERED_SETTINGS).unwrap().quotas shouldBe null
+                val bad = """"quotas":{"overShare":-1,"slack":-2,"windowSeconds":0,"failureDomains":0},"limits":"""
+                val errors = parseSettings(RENDERED_SETTINGS.replace("\"limits\":", bad)).unwrapError()
+                errors.map { it.path } shouldContainExactlyInAnyOrder
+                    listOf("windowSeconds", "overShare", "slack", "failureDomains").map { "$.quotas.$it" }
+            }
+
             // Guards against nodes that fail to start because the platform renders a limit as a fraction.
             it("accepts fractional limits of the platform") {
                 val text = RENDERED_SETTINGS.replace("\"slack\":56", "\"slack\":35.18518518518518")
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
@@ -143,8 +143,9 @@
         val forward = {
             EntryExchange(node, downstream, deadlines, head, route, targets, keyOwner, tenant).apply { start() }
         }
-        val quota = tenant?.let(node.quotas::keyOf) ?: return forward()
-        return QuotaExchange(node, downstream, quota, deadlines.lastMillis, forward).start()
+        if (tenant == null) return forward()
+        val quota = node.quotas.keyOf(tenant) ?: return forward()
+        return QuotaExchange(node, downstream, tenant, quota, deadlines.lastMillis, forward).start()
     }
 
     private fun maxBodyBytes(table: RoutingTable) =
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
@@ -12,6 +12,7 @@
 import dev.baobabhollow.model.NodeId
 import dev.baobabhollow.model.NodeRecord
 import dev.baobabhollow.model.TargetStatus
+import dev.baobabhollow.model.TenantId
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpUtil
@@ -258,6 +259,16 @@
         version: Long,
     ) = callLog.write { "event=call_unauthorized call=$callId route=${route.id} version=$version status=401" }
 
+    /** Logs a call that was refused while it had no token of the quota of [tenant]. */
+    fun logQuotaRefusal(
+        callId: String?,
+        tenant: TenantId,
+        failure: CallFailure,
+    ) = callLog.write {
+        "event=call_refused call=$callId tenant=$tenant reason=${failure.reason.text} " +
+            "status=${failure.status.code()} retry_after_ms=${failure.retryAfterMillis}"
+    }
+
     fun logUnexpected(cause: Throwable) {
         LOG.error("event=proxy_unexpected_error", cause)
     }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/QuotaExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/QuotaExchange.kt
@@ -3,6 +3,7 @@
 import dev.baobabhollow.calls.QuotaDecision
 import dev.baobabhollow.calls.QuotaKey
 import dev.baobabhollow.calls.QuotaWaiter
+import dev.baobabhollow.model.TenantId
 import io.netty.handler.codec.http.HttpContent
 import io.netty.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
@@ -14,6 +15,7 @@
 internal class QuotaExchange(
     private val node: NodeCore,
     private val downstream: DownstreamCall,
+    private val tenant: TenantId,
     private val key: QuotaKey,
     private val deadlineMillis: Long,
     private val forward: () -> Exchange,
@@ -107,6 +109,7 @@
         if (isDecided) return
         end()
         node.metrics.countFailure("entry", failure)
+        node.logQuotaRefusal(downstream.caller.callId, tenant, failure)
         downstream.writeFailureResponse(failure)
         downstream.flush()
     }
