--- a/calls/src/main/kotlin/dev/baobabhollow/calls/QuotaStock.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/QuotaStock.kt
@@ -241,8 +241,9 @@
         val fleet = fleet ?: return null
         if (pending.size > MAX_PENDING) return null
         return fleet.domainsFor(stock.key).firstOrNull { domain ->
+            if (!stock.isOpen(domain, nowMillis)) return@firstOrNull false
             val node = fleet.allocatorOf(stock.key, domain)
-            stock.isOpen(domain, nowMillis) && node != null && (silentUntil[node] ?: nowMillis) <= nowMillis
+            node != null && (silentUntil[node] ?: nowMillis) <= nowMillis
         }
     }
 
