--- a/calls/src/main/kotlin/dev/baobabhollow/calls/QuotaFleet.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/QuotaFleet.kt
@@ -76,7 +76,8 @@
     private val hashes = LongArray(sorted.size) { Hashing.xxh3_64().hashCharsToLong(sorted[it].value) }
 
     /** Returns the first node for [key], which all nodes with the same list agree on, or null if there are no nodes. */
-    fun first(key: QuotaKey): NodeId? = sorted.indices.maxByOrNull { mix(hashes[it] xor mix(key.bits)) }?.let(sorted::get)
+    fun first(key: QuotaKey): NodeId? =
+        sorted.indices.maxByOrNull { mix(hashes[it] xor mix(key.bits)) }?.let(sorted::get)
 
     /** Distributes the bits of [value] evenly (SplitMix64, G. L. Steele et al., 2014). */
     private fun mix(value: Long): Long {
--- a/calls/src/test/kotlin/dev/baobabhollow/calls/QuotaBoundSpec.kt
+++ b/calls/src/test/kotlin/dev/baobabhollow/calls/QuotaBoundSpec.kt
@@ -153,7 +153,9 @@
             if (!member.isUp) return
             val domain = member.record.failureDomain
             val isKnown: (FailureDomainId) -> Boolean = {
-                it == domain || member.tracker.fleet.live.containsKey(it) || isLinked(domain, it)
+                it == domain ||
+                    member.tracker.fleet.live
+                        .containsKey(it) || isLinked(domain, it)
             }
             val seen = simulation.members.map { it.record }
             member.see(seen.filter { it.node !in member.hidden && isKnown(it.failureDomain) })
@@ -165,7 +167,10 @@
         ) = a !in simulation.cutOff && b !in simulation.cutOff
 
         private fun cutOff() {
-            val domain = simulation.members.random(random).record.failureDomain
+            val domain =
+                simulation.members
+                    .random(random)
+                    .record.failureDomain
             if (!simulation.cutOff.add(domain)) return
             simulation.after(random.nextLong(500, 15_000)) {
                 simulation.cutOff.remove(domain)
--- a/node/src/main/kotlin/dev/baobabhollow/node/NodeMetrics.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/NodeMetrics.kt
@@ -75,8 +75,9 @@
             .name("baobabhollow_quota_requests")
             .help("Requests of tenants with a limit by decision; tenants beyond the first 100 have an empty name")
             .labelNames("tenant", "result")
-            .callback { call -> quotas.counts.forEach { count, tenant, result -> call.call(count.toDouble(), tenant, result) } }
-            .register(registry)
+            .callback { call ->
+                quotas.counts.forEach { count, tenant, result -> call.call(count.toDouble(), tenant, result) }
+            }.register(registry)
     }
 
     private companion object {
--- a/node/src/main/kotlin/dev/baobabhollow/node/NodeQuotas.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/NodeQuotas.kt
@@ -103,7 +103,10 @@
         val now = nowMillis()
         val before = fleet
         fleet = next
-        nodesByEndpoint = next.live.values.flatMap { it.values }.associateBy { it.controlEndpoint }
+        nodesByEndpoint =
+            next.live.values
+                .flatMap { it.values }
+                .associateBy { it.controlEndpoint }
         allocator.updateFleet(next)
         stock.updateFleet(next)
         if (before?.domains == next.domains && before.domainShare(now) == next.domainShare(now)) return
@@ -137,10 +140,11 @@
         onWait: (QuotaWaiter) -> Unit,
         decide: (QuotaDecision) -> Unit,
     ): QuotaDecision? {
-        val now = stock.take(key, nowMillis(), onWait) { later ->
-            count(key, later)
-            decide(later)
-        }
+        val now =
+            stock.take(key, nowMillis(), onWait) { later ->
+                count(key, later)
+                decide(later)
+            }
         now?.let { count(key, it) }
         return now
     }
--- a/node/src/main/kotlin/dev/baobabhollow/node/SettingsValidation.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/SettingsValidation.kt
@@ -41,7 +41,8 @@
 
 private fun quotaErrors(quotas: QuotaLimitSettings): List<ConfigError> =
     buildList {
-        if (quotas.windowSeconds <= 0) add(ConfigError("$.quotas.windowSeconds", "${quotas.windowSeconds}", "more than 0"))
+        val window = quotas.windowSeconds
+        if (window <= 0) add(ConfigError("$.quotas.windowSeconds", "$window", "more than 0"))
         if (quotas.overShare < 0) add(ConfigError("$.quotas.overShare", "${quotas.overShare}", "0 or more"))
         if (quotas.slack < 0) add(ConfigError("$.quotas.slack", "${quotas.slack}", "0 or more"))
         addAll(atLeastOne("$.quotas.failureDomains", quotas.failureDomains.toLong()))
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/QuotaMessage.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/QuotaMessage.kt
@@ -62,7 +62,8 @@
 
     private fun decodeQuestion(buffer: ByteBuffer): QuotaMessage? {
         val id = buffer.short.toInt() and MAX_ID
-        val key = (buffer.get().toLong() and MAX_TOKENS.toLong() shl Int.SIZE_BITS) or (buffer.int.toLong() and INT_MASK)
+        val key =
+            (buffer.get().toLong() and MAX_TOKENS.toLong() shl Int.SIZE_BITS) or (buffer.int.toLong() and INT_MASK)
         val wanted = buffer.get().toInt() and MAX_TOKENS
         return if (wanted == 0) null else QuotaMessage.Question(id, key, wanted)
     }
