--- a/node/src/main/kotlin/dev/baobabhollow/node/NodeMetrics.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/NodeMetrics.kt
@@ -61,6 +61,25 @@
             }.register(registry)
     }
 
+    /** Registers the counts of [quotas]. */
+    fun quotas(quotas: NodeQuotas) {
+        gauge("quota_allocated_tenants", "Tenants whose tokens this node allocates") { quotas.allocatedTenants }
+        CounterWithCallback
+            .builder()
+            .name("baobabhollow_quota_questions")
+            .help("Questions for tokens that this node has sent to others")
+            .callback { it.call(quotas.questions.toDouble()) }
+            .register(registry)
+        CounterWithCallback
+            .builder()
+            .name("baobabhollow_quota_requests")
+            .help("Requests of tenants with a limit by decision; tenants beyond the first 100 have an empty name")
+            .labelNames("tenant", "result")
+            .callback { call ->
+                quotas.counts.forEach { count, tenant, result -> call.call(count.toDouble(), tenant, result) }
+            }.register(registry)
+    }
+
     private companion object {
         const val MILLIS_PER_SECOND = 1_000.0
     }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
@@ -140,9 +140,12 @@
         tenant: TenantId?,
     ): Exchange {
         val targets = targetsOf(route)
-        val exchange = EntryExchange(node, downstream, deadlines, head, route, targets, keyOwner, tenant)
-        exchange.start()
-        return exchange
+        val forward = {
+            EntryExchange(node, downstream, deadlines, head, route, targets, keyOwner, tenant).apply { start() }
+        }
+        if (tenant == null) return forward()
+        val quota = node.quotas.keyOf(tenant) ?: return forward()
+        return QuotaExchange(node, downstream, tenant, quota, deadlines.lastMillis, forward).start()
     }
 
     private fun maxBodyBytes(table: RoutingTable) =
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/TestMesh.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/TestMesh.kt
@@ -41,6 +41,7 @@
     private val nowMillis: () -> Long = System::currentTimeMillis,
     private val entryNowMillis: () -> Long = nowMillis,
     private val domains: List<String> = listOf("a"),
+    private val quotas: CallQuotas = NoCallQuotas,
 ) : AutoCloseable {
     @Volatile
     var table: RoutingTable = RoutingTable.EMPTY
@@ -118,7 +119,7 @@
         val metrics = ProxyMetrics(PrometheusRegistry())
         val clock = if (target == null) entryNowMillis else nowMillis
         val tables = { if (target == null) table else ownerTable ?: table }
-        return ProxyServer(settings, record, tables, target, clock, OutcomeRecorder(), claims, metrics)
+        return ProxyServer(settings, record, tables, target, clock, OutcomeRecorder(), claims, metrics, quotas)
     }
 
     override fun close() {
