Identify a position in the log by era and offset

A log that comes back from an older copy assigns offsets again, so a replica ignored what was written again, and two orders could have one identifier. States, batches and orders carry the era of the log; it is left out while it is 0. A replica keeps the configuration and the orders of the previous era until the log holds newer ones, and replicas at one position can be merged.

--- a/configuration/src/main/kotlin/dev/baobabhollow/configuration/ConfigurationReplica.kt
+++ b/configuration/src/main/kotlin/dev/baobabhollow/configuration/ConfigurationReplica.kt
@@ -5,13 +5,15 @@
 import dev.baobabhollow.model.LogEntry
 import dev.baobabhollow.model.MeshChangeRecord
 import dev.baobabhollow.model.MeshConfig
+import dev.baobabhollow.model.NO_OFFSET
+import dev.baobabhollow.model.logPosition
 import java.util.concurrent.atomic.AtomicReference
 
 /**
  * One node's replica of the configuration, with a bounded tail of recent records for peers that are behind.
  *
- * Batches and states must be offered by a single thread; any thread may read [state]. The offset and the version of the
- * state never decrease.
+ * Batches and states must be offered by a single thread; any thread may read [state]. Neither the position of the
+ * state, its era and then its offset, nor its version ever decreases.
  */
 class ConfigurationReplica(
     initial: ConfigurationState = ConfigurationState.INITIAL,
@@ -30,11 +32,13 @@
 
     /** Applies the new entries of [batch], or none of them if records between the state and the batch are missing. */
     fun offer(batch: RecordBatch): OfferResult {
-        val before = state
+        if (batch.era < state.era) return OfferResult.Unchanged
         if (!isOrdered(batch)) return OfferResult.Rejected("offsets of the batch are not strictly ascending")
-        if (batch.afterOffset > before.offset) return OfferResult.Gap(before.offset)
+        val isNewEra = batch.era > state.era
+        val before = if (isNewEra) state.enterEra(batch.era, batch.endOffset) else state
+        if (batch.afterOffset > before.offset) return OfferResult.Gap(state.offset)
         val fresh = batch.entries.filter { it.offset > before.offset }
-        if (fresh.isEmpty()) return OfferResult.Unchanged
+        if (fresh.isEmpty() && !isNewEra) return OfferResult.Unchanged
         val decodedEntries = mutableListOf<LogEntry>()
         var next = before
         for (entry in fresh) {
@@ -43,6 +47,10 @@
             next = fold(next, decoded)
             decodedEntries += decoded
         }
+        if (isNewEra) {
+            recent.clear()
+            forgetRecords(NO_OFFSET)
+        }
         current.set(next)
         recent.add(next)
         appendToTail(decodedEntries)
@@ -76,26 +84,38 @@
         return body.change.applyTo(state.mesh).takeIf { hasher.hash(it) == body.meshHash }
     }
 
-    /** Replaces the state by that of [transfer] if that is newer and its hash matches. */
+    /**
+     * Replaces the state by that of [transfer] if that is newer and its hash matches. In eras above 0 the result also
+     * keeps what this replica holds from earlier eras and the other one lacks; see [withRetained].
+     */
     fun offer(transfer: StateTransfer): OfferResult {
-        if (transfer.state.offset <= state.offset) return OfferResult.Unchanged
-        if (transfer.state.version < state.version) return OfferResult.Rejected("version of the state would decrease")
-        if (hasher.hash(transfer.state) !=
-            transfer.contentHash
-        ) {
+        val received = transfer.state
+        val isMergeable = received.era > 0 && received.logPosition == state.logPosition
+        if (received.logPosition <= state.logPosition && !isMergeable) return OfferResult.Unchanged
+        if (received.era == 0L && received.version < state.version) {
+            return OfferResult.Rejected("version of the state would decrease")
+        }
+        if (hasher.hash(received) != transfer.contentHash) {
             return OfferResult.Rejected("content hash of the state does not match")
         }
-        current.set(transfer.state)
-        recent.add(transfer.state)
-        tail.clear()
-        tailAfterOffset = transfer.state.offset
+        val next = if (received.era > 0) received.withRetained(state, hasher::hash) else received
+        if (next == state) return OfferResult.Unchanged
+        if (received.era != state.era || isMergeable) recent.clear()
+        if (!isMergeable) forgetRecords(next.offset)
+        current.set(next)
+        recent.add(next)
         return OfferResult.Applied(state)
     }
 
-    /** Returns the records after [offset], or null if [offset] is outside the tail. */
+    private fun forgetRecords(afterOffset: Long) {
+        tail.clear()
+        tailAfterOffset = afterOffset
+    }
+
+    /** Returns the records after [offset] of the current era, or null if [offset] is outside the tail. */
     fun recordsAfter(offset: Long): RecordBatch? {
         if (offset < tailAfterOffset || offset > state.offset) return null
-        return RecordBatch(offset, tail.filter { it.offset > offset })
+        return RecordBatch(offset, tail.filter { it.offset > offset }, state.era)
     }
 
     /**
--- a/configuration/src/main/kotlin/dev/baobabhollow/configuration/Fold.kt
+++ b/configuration/src/main/kotlin/dev/baobabhollow/configuration/Fold.kt
@@ -5,8 +5,8 @@
 import dev.baobabhollow.model.ConfigurationRecord
 import dev.baobabhollow.model.ConfigurationState
 import dev.baobabhollow.model.LogEntry
+import dev.baobabhollow.model.LogPosition
 import dev.baobabhollow.model.MeshChangeRecord
-import dev.baobabhollow.model.MoveId
 import dev.baobabhollow.model.MoveOrder
 import dev.baobabhollow.model.MoveOrderRecord
 import dev.baobabhollow.model.MoveStageRecord
@@ -16,6 +16,7 @@
 import dev.baobabhollow.model.SnapshotRecord
 import dev.baobabhollow.model.UnreadableRecord
 import dev.baobabhollow.model.WriterState
+import dev.baobabhollow.model.orderedMoveId
 
 /** Maximum number of patch verdicts in a state. */
 const val KEPT_VERDICTS = 256
@@ -72,7 +73,9 @@
     entry: LogEntry,
     record: ConfigurationRecord,
 ): ConfigurationState {
-    if (record.version <= state.version) return state.copy(offset = entry.offset)
+    // In a later era the held version may be one that the log has lost and that is written again.
+    val isWrittenAgain = state.era > 0 && record.version == state.version
+    if (record.version <= state.version && !isWrittenAgain) return state.copy(offset = entry.offset)
     return state.copy(offset = entry.offset, version = record.version, mesh = record.mesh)
 }
 
@@ -81,8 +84,13 @@
     entry: LogEntry,
     record: MoveOrderRecord,
 ): ConfigurationState {
-    val order = MoveOrder(MoveId("${record.service}/${entry.offset}"), record.release, record.durationMillis)
-    return state.copy(offset = entry.offset, orders = state.orders + (record.service to order))
+    val move = orderedMoveId(record.service, LogPosition(state.era, entry.offset))
+    val order = MoveOrder(move, record.release, record.durationMillis)
+    return state.copy(
+        offset = entry.offset,
+        orders =
+            state.orders + (record.service to state.newerOrder(record.service, order)),
+    )
 }
 
 private fun isDuplicate(
--- a/configuration/src/main/kotlin/dev/baobabhollow/configuration/RecentMeshes.kt
+++ b/configuration/src/main/kotlin/dev/baobabhollow/configuration/RecentMeshes.kt
@@ -27,6 +27,9 @@
         if (remembered.size > MAX_REMEMBERED) remembered.removeFirst()
     }
 
+    /** Forgets all configurations. Must be called at the start of an era, in which offsets are assigned again. */
+    fun clear() = remembered.clear()
+
     /**
      * Returns [entry] with the change since [offset] in place of its whole configuration. Returns [entry] itself if it
      * does not hold the configuration of [now], if that of [offset] is not known or if more than half of the routes
--- a/model/src/main/kotlin/dev/baobabhollow/model/ConfigurationState.kt
+++ b/model/src/main/kotlin/dev/baobabhollow/model/ConfigurationState.kt
@@ -10,6 +10,11 @@
  * Result of folding the configuration stream through [offset]. All readers that fold the same records reach equal
  * states.
  *
+ * [era] is that of the log, and offsets of different eras are not comparable. [eraStart] is the lowest known end of the
+ * log at the start of the era: records from there on were certainly written in this era, earlier ones may come from the
+ * copy that the log returned from. At the start of an era the state keeps the configuration and the orders of the
+ * previous one until the log holds newer ones.
+ *
  * [currentReleases] maps each service to the release that receives all calls except the share of a running move.
  */
 @Serializable
@@ -25,6 +30,8 @@
     val snapshotAtMillis: Long = 0,
     val lastAppendedAtMillis: Long = 0,
     val orders: Map<ServiceId, MoveOrder> = emptyMap(),
+    val era: Long = 0,
+    val eraStart: Long = 0,
 ) {
     /** Contains the initial state. */
     companion object {
--- a/model/src/main/kotlin/dev/baobabhollow/model/PlatformLog.kt
+++ b/model/src/main/kotlin/dev/baobabhollow/model/PlatformLog.kt
@@ -85,7 +85,8 @@
 
 /**
  * Entries in ascending order of their offsets. [earliestOffset] is the first offset that the log still keeps,
- * [nextOffset] the offset of the next append, and [retentionMillis] the time for which the log keeps records.
+ * [nextOffset] the offset of the next append, and [retentionMillis] the time for which the log keeps records. [era]
+ * increases by one each time the log returns from an older copy; it is 0 for logs that never do.
  */
 @Serializable
 data class LogBatch(
@@ -93,6 +94,7 @@
     val earliestOffset: Long,
     val nextOffset: Long,
     val retentionMillis: Long,
+    val era: Long = 0,
 )
 
 /** Reason why an operation of the platform log failed. */
