Follow a log into a later era in readers, peers and ordered moves

Readers polled at offsets that the log no longer had, and peers compared offsets of different eras. Readers read a log of a later era from its start, positions and pulls state the era, and states at one position of a later era are merged. An order that is written again continues its move, and stages that the log has lost are stored again.

--- a/peers/src/main/kotlin/dev/baobabhollow/peers/Announcements.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/Announcements.kt
@@ -1,6 +1,7 @@
 package dev.baobabhollow.peers
 
 import dev.baobabhollow.membership.FleetView
+import dev.baobabhollow.model.LogPosition
 import dev.baobabhollow.model.NO_OFFSET
 import dev.baobabhollow.model.NodeRecord
 import dev.baobabhollow.model.NodeStatus
@@ -18,7 +19,7 @@
     private val settings: ControlPlaneSettings,
     private val random: RandomGenerator,
 ) {
-    private var announcedOffset = NO_OFFSET
+    private var announced = LogPosition(0, NO_OFFSET)
     private var roundsLeft = 0
     private var nextRoundMillis = 0L
 
@@ -29,8 +30,8 @@
         nowMillis: Long,
     ): List<NodeRecord> {
         if (!settings.announcesRecords || !position.isConfirmed) return emptyList()
-        if (position.offset > announcedOffset) {
-            announcedOffset = position.offset
+        if (position.logPosition > announced) {
+            announced = position.logPosition
             roundsLeft = ROUNDS
             nextRoundMillis = nowMillis
         }
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlCore.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlCore.kt
@@ -6,6 +6,7 @@
 import dev.baobabhollow.model.ConfigurationState
 import dev.baobabhollow.model.Endpoint
 import dev.baobabhollow.model.LogError
+import dev.baobabhollow.model.LogPosition
 import dev.baobabhollow.model.MoveId
 import dev.baobabhollow.model.MoveStageRecord
 import dev.baobabhollow.model.NodeRecord
@@ -26,6 +27,7 @@
     private val outcomeSender: OutcomeSender,
     private val logDuty: LogDuty,
     private val metrics: ControlMetrics,
+    private val storeAgain: (OrderedStage) -> Unit,
 ) {
     private var lastPeerMessageMillis: Long? = null
     private var startedMillis = 0L
@@ -78,7 +80,7 @@
             is ControlEvent.LogStateFound -> applyLogState(event)
             is ControlEvent.LogFailed -> handleLogError(event.error)
             is ControlEvent.AppendFinished -> handleAppendFinished(event)
-            is ControlEvent.StagesRead -> event.stages.forEach { orderedMoves.merge(it) }
+            is ControlEvent.StagesRead -> handleStages(event.stages)
             is ControlEvent.ContactsFound -> send(membership.join(event.endpoints, nowMillis))
             is ControlEvent.SelfChanged -> changeSelf(event.change, nowMillis)
             is ControlEvent.LeaveRequested -> leave(event, nowMillis)
@@ -136,7 +138,10 @@
         dissemination.compare(datagram.position, sender.endpoint, nowMillis)
         val news = datagram.sentAtMillis?.let { sentAt -> datagram.stages.filter { orderedMoves.merge(it, sentAt) } }
         if (!news.isNullOrEmpty()) spread(emptyList(), news)
-        datagram.alerts.forEach { coordinator.handleAlert(it, state, nowMillis) }
+        datagram.alerts.forEach {
+            val alert = it.copy(move = orderedMoves.continuedMove(it.move))
+            coordinator.handleAlert(alert, state, nowMillis)
+        }
     }
 
     private fun handleRequest(
@@ -159,7 +164,7 @@
         nowMillis: Long,
     ) {
         val last = push.batch.entries.lastOrNull() ?: return
-        if (sender != null) dissemination.recordPush(last.offset, sender, nowMillis)
+        if (sender != null) dissemination.recordPush(LogPosition(push.batch.era, last.offset), sender, nowMillis)
     }
 
     private fun handleOutcomes(
@@ -187,6 +192,14 @@
         event.done.complete(Unit)
     }
 
+    /** Adopts the stages that the log holds. In a later era, also stores those again that the log has lost. */
+    private fun handleStages(stages: List<OrderedStage>) {
+        stages.forEach { orderedMoves.merge(it) }
+        if (position.era == 0L) return
+        orderedMoves.mergeInto(dissemination.state)
+        orderedMoves.lostStages(stages).forEach(storeAgain)
+    }
+
     private fun handleLogError(error: LogError) {
         logDuty.recordError(error)
         if (error is LogError.Trimmed) dissemination.pullFromAnyPeer(view)
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlMetrics.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlMetrics.kt
@@ -15,6 +15,9 @@
     private val transfers = counter("control_transfers", "Answers to pulls", "answer")
     private val logCalls = counter("control_log_calls", "Calls to the platform log", "call", "result")
     private val divergences = counter("control_divergences", "Peers with another state at the same offset")
+    private val eraChanges =
+        counter("configuration_era_changes", "Later eras of the platform log that the node entered")
+    private val era = gauge("configuration_era", "Era of the configuration state, 0 if the log has never gone back")
     private val offset = gauge("configuration_offset", "Offset of the configuration state")
     private val version = gauge("configuration_version", "Version of the configuration state")
     private val nodes = gauge("control_live_nodes", "Nodes that are neither leaving nor dead")
@@ -42,7 +45,10 @@
 
     fun countDivergence() = divergences.inc()
 
+    fun countEraChange() = eraChanges.inc()
+
     fun showPosition(position: Position) {
+        era.set(position.era.toDouble())
         offset.set(position.offset.toDouble())
         version.set(position.version.toDouble())
     }
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlane.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlane.kt
@@ -4,9 +4,11 @@
 import dev.baobabhollow.membership.membership
 import dev.baobabhollow.model.ConfigurationState
 import dev.baobabhollow.model.Endpoint
+import dev.baobabhollow.model.MoveEvidence
 import dev.baobabhollow.model.MoveId
 import dev.baobabhollow.model.MoveStageRecord
 import dev.baobabhollow.model.NodeRecord
+import dev.baobabhollow.model.OrderedStage
 import dev.baobabhollow.model.OutcomeSummary
 import dev.baobabhollow.model.PlatformLog
 import dev.baobabhollow.model.RecordBody
@@ -64,6 +66,7 @@
             outcomeSender = outcomeSender,
             logDuty = logDuty,
             metrics = metrics,
+            storeAgain = ::storeAgain,
         )
     private val thread = ControlThread(settings, core, events, summaries, callbacks.onChange)
 
@@ -150,6 +153,13 @@
         return state.moves[record.move]?.phase?.isFinal == false
     }
 
+    /** Stores [stage], which the log has lost, under a condition that is obtained anew for each attempt. */
+    private fun storeAgain(stage: OrderedStage) {
+        val record =
+            MoveStageRecord(stage.move, stage.stage, stage.phase, stage.sharePermille, stage.reason, MoveEvidence.NONE)
+        writer.offer(AppendRequest(record, stage = stage) { stage.move in state.moves })
+    }
+
     private fun appendSnapshot(record: SnapshotRecord): Boolean =
         append(record, isRetried = false) { state.snapshotOffset < record.throughOffset }
 
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
@@ -12,9 +12,11 @@
 import dev.baobabhollow.model.Endpoint
 import dev.baobabhollow.model.LogBatch
 import dev.baobabhollow.model.LogEntry
-import dev.baobabhollow.model.MeshChangeRecord
+import dev.baobabhollow.model.LogPosition
+import dev.baobabhollow.model.NO_OFFSET
 import dev.baobabhollow.model.NodeRecord
 import dev.baobabhollow.model.UnreadableRecord
+import dev.baobabhollow.model.logPosition
 import org.apache.logging.log4j.LogManager
 import java.util.random.RandomGenerator
 
@@ -61,31 +63,37 @@
         endpoint: Endpoint,
         nowMillis: Long,
     ) {
-        if (peerPosition.offset == position.offset) {
-            if (peerPosition.contentHash != position.contentHash) reportDivergence(endpoint)
+        val isSamePlace = peerPosition.logPosition == position.logPosition
+        val isSame = isSamePlace && peerPosition.contentHash == position.contentHash
+        if (isSame || (isSamePlace && position.era == 0L)) {
+            if (!isSame) reportDivergence(endpoint)
             if (peerPosition.isConfirmed) confirm()
             return
         }
-        if (peerPosition.offset < position.offset || !peerPosition.isConfirmed) return
+        // In a later era, states at one position may differ in what they retain of earlier ones, and are merged.
+        if (peerPosition.logPosition < position.logPosition || !peerPosition.isConfirmed) return
         if (aheadPeer == null && !isPulling) {
             nextPullAtMillis = maxOf(nextPullAtMillis, nowMillis + random.nextLong(settings.pullJitterMillis + 1))
             LOG.info(
-                "event=peer_ahead peer={} peer_offset={} offset={}",
+                "event=peer_ahead peer={} peer_era={} peer_offset={} era={} offset={}",
                 endpoint,
+                peerPosition.era,
                 peerPosition.offset,
+                position.era,
                 position.offset,
             )
         }
         aheadPeer = endpoint
     }
 
-    /** Records that the peer at [endpoint] has pushed records through [offset]. */
+    /** Records that the peer at [endpoint] has pushed records through [pushed]. */
     fun recordPush(
-        offset: Long,
+        pushed: LogPosition,
         endpoint: Endpoint,
         nowMillis: Long,
     ) {
-        if (offset > position.offset) compare(position.copy(offset = offset), endpoint, nowMillis)
+        if (pushed <= position.logPosition) return
+        compare(position.copy(era = pushed.era, offset = pushed.offset), endpoint, nowMillis)
     }
 
     /** Pulls from a peer that is ahead or, while the state is not confirmed, from any peer. */
@@ -100,7 +108,8 @@
         pulledFrom = source
         pullStartedMillis = nowMillis
         pullTimeoutMillis = nowMillis + settings.requestTimeoutMillis * 2
-        val pull = Pull(position.offset, takesChanges = !needsFullState, takesDeflated = true)
+        val hash = position.contentHash.takeIf { position.era > 0 }
+        val pull = Pull(position.offset, !needsFullState, takesDeflated = true, position.era, hash)
         peerSender.request(source, pull) { post(ControlEvent.PullAnswered(it)) }
     }
 
@@ -137,15 +146,15 @@
 
     /** Confirms the state as well, because only nodes with a confirmed state send records or a state. */
     private fun applyPulled(apply: () -> Unit) {
-        val before = position.offset
+        val before = position
         apply()
-        if (position.offset > before) confirm()
+        if (position !== before) confirm()
         backoff.reset()
     }
 
     /** Requests a full state only if the local one hasn't changed since the pull; otherwise a new change may apply. */
     private fun retryPull(rejected: RecordBatch) {
-        needsFullState = rejected.afterOffset == position.offset
+        needsFullState = rejected.era == position.era && rejected.afterOffset == position.offset
         aheadPeer = pulledFrom
     }
 
@@ -153,7 +162,7 @@
         response: NothingNew,
         nowMillis: Long,
     ) {
-        if (response.position.isConfirmed && response.position.offset == position.offset) confirm()
+        if (response.position.isConfirmed && response.position.logPosition == position.logPosition) confirm()
         if (!position.isConfirmed) nextPullAtMillis = nowMillis + backoff.nextMillis()
     }
 
@@ -184,22 +193,17 @@
         batch: LogBatch,
         view: FleetView,
     ) {
-        val entries = batch.entries.map(::withoutMeshChange)
-        if (entries.isNotEmpty()) apply(RecordBatch(afterOffset, entries), view, Origin.LOG)
-        if (position.offset + 1 >= batch.nextOffset) confirm()
-    }
-
-    /**
-     * Replaces a change between versions by an unreadable record. Such changes are only sent between nodes and apply to
-     * one version; one that was written to the log must not stop the readers.
-     */
-    private fun withoutMeshChange(entry: LogEntry): LogEntry {
-        if (entry.record.body !is MeshChangeRecord) return entry
-        return entry.copy(record = entry.record.copy(body = UnreadableRecord("a change between versions")))
+        val entries = batch.entries.map { it.withoutMeshChange() }
+        val isNewEra = batch.era > position.era
+        val endOffset = if (isNewEra) batch.nextOffset else 0
+        if (entries.isNotEmpty() || isNewEra) {
+            apply(RecordBatch(afterOffset, entries, batch.era, endOffset), view, Origin.LOG)
+        }
+        if (batch.era == position.era && position.offset + 1 >= batch.nextOffset) confirm()
     }
 
     fun applyLogState(state: ConfigurationState) {
-        if (state.offset > position.offset) apply(StateTransfer(state, contentHash(state)), Origin.LOG)
+        if (state.logPosition > position.logPosition) apply(StateTransfer(state, contentHash(state)), Origin.LOG)
         confirm()
     }
 
@@ -209,7 +213,7 @@
         view: FleetView,
         origin: Origin,
     ): Boolean {
-        val before = position.offset
+        val before = position.logPosition
         val result = replica.offer(batch)
         if (result is OfferResult.Rejected) {
             metrics.countIgnored("rejected batch")
@@ -218,9 +222,11 @@
         }
         if (result !is OfferResult.Applied) return true
         updatePosition(origin)
-        batch.entries.filter { it.offset > before }.forEach(::reportUnreadable)
+        // The first batch of an era starts with its first record.
+        val newAfter = if (batch.era > before.era) NO_OFFSET else before.offset
+        batch.entries.filter { it.offset > newAfter }.forEach(::reportUnreadable)
         // Taken from the replica, which holds full configurations: a change in the batch applies to one version only.
-        val newRecords = replica.recordsAfter(before)
+        val newRecords = replica.recordsAfter(newAfter)
         if (newRecords != null && position.isConfirmed) push(newRecords, view, isLogReader = origin == Origin.LOG)
         return true
     }
@@ -247,7 +253,8 @@
 
     private fun updatePosition(origin: Origin) {
         val before = position
-        position = Position(state.offset, state.version, replica.contentHash, position.isConfirmed)
+        position = Position(state.offset, state.version, replica.contentHash, before.isConfirmed, state.era)
+        if (state.era > before.era) reportEra(before, origin)
         needsFullState = false
         pullResponder.clear()
         LOG.info(
@@ -270,25 +277,13 @@
         LOG.info("event=configuration_confirmed offset={} version={}", position.offset, position.version)
     }
 
-    /** Pushes to random peers, preferably of the own domain. A log reader includes one node of another domain. */
     private fun push(
         batch: RecordBatch,
         view: FleetView,
         isLogReader: Boolean,
     ) {
         if (settings.announcesRecords) return
-        val (ownDomain, otherDomains) =
-            view
-                .live()
-                .filter {
-                    it.node != self.node
-                }.partition { it.failureDomain == self.failureDomain }
-        val otherCount = if (isLogReader) minOf(1, otherDomains.size) else 0
-        val shuffled = otherDomains.inRandomOrder(random)
-        val receivers =
-            shuffled.take(otherCount) + ownDomain.inRandomOrder(random).take(settings.pushFanOut - otherCount)
-        val rest = if (ownDomain.isEmpty()) shuffled.drop(otherCount) else emptyList()
-        (receivers + rest).take(settings.pushFanOut).forEach { peer ->
+        view.pushReceivers(self, settings.pushFanOut, random, isLogReader).forEach { peer ->
             peerSender.request(peer.controlEndpoint, Push(batch)) {
                 post(ControlEvent.PushAnswered(it, peer.controlEndpoint))
             }
@@ -311,18 +306,29 @@
         nextPullAtMillis = nowMillis + wait + backoff.nextMillis()
     }
 
-    private fun randomPeer(view: FleetView): Endpoint? {
-        val known = view.live().filter { it.node != self.node }.map { it.controlEndpoint }
-        val candidates = (known + settings.seeds).filter { it != self.controlEndpoint }.distinct()
-        if (candidates.isEmpty()) return null
-        return candidates[random.nextInt(candidates.size)]
-    }
+    private fun randomPeer(view: FleetView): Endpoint? = view.randomPeer(self, settings.seeds, random)
 
     private fun reportUnreadable(entry: LogEntry) {
         val body = entry.record.body as? UnreadableRecord ?: return
         LOG.warn("event=record_unreadable offset={} reason={}", entry.offset, body.reason)
     }
 
+    private fun reportEra(
+        before: Position,
+        origin: Origin,
+    ) {
+        metrics.countEraChange()
+        LOG.warn(
+            "event=store_era_changed from={} era_before={} offset_before={} era={} offset={} version={}",
+            origin.text,
+            before.era,
+            before.offset,
+            position.era,
+            position.offset,
+            position.version,
+        )
+    }
+
     private fun reportDivergence(endpoint: Endpoint) {
         metrics.countDivergence()
         if (reportedOffset == position.offset) return
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/LogDuty.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/LogDuty.kt
@@ -46,8 +46,8 @@
         if (isReading && settings.writesSnapshots) writeSnapshotIfDue(state, position, nowMillis)
     }
 
-    /** Passes the current long-poll timeout and the offset of [position] to the log reader. */
-    fun updateReader(position: Position) = instruct(ReadInstruction(pollMillis, position.offset))
+    /** Passes the current long-poll timeout, and the offset and the era of [position], to the log reader. */
+    fun updateReader(position: Position) = instruct(ReadInstruction(pollMillis, position.offset, position.era))
 
     fun recordRead(batch: LogBatch) {
         lastError = null
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/LogReader.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/LogReader.kt
@@ -5,6 +5,7 @@
 import dev.baobabhollow.configuration.SnapshotSearch
 import dev.baobabhollow.model.LogBatch
 import dev.baobabhollow.model.LogError
+import dev.baobabhollow.model.NO_OFFSET
 import dev.baobabhollow.model.PlatformLog
 import dev.baobabhollow.model.StreamName
 import org.apache.logging.log4j.LogManager
@@ -15,10 +16,13 @@
 import java.util.concurrent.locks.LockSupport
 import java.util.random.RandomGenerator
 
-/** Instruction to read after [offset] with [pollMillis] as the long-poll timeout, or not to read if it is null. */
+/**
+ * Instruction to read after [offset] of [era] with [pollMillis] as the long-poll timeout, or not to read if it is null.
+ */
 internal data class ReadInstruction(
     val pollMillis: Long?,
     val offset: Long,
+    val era: Long = 0,
 )
 
 /** Long-polls the configuration stream while instructed to, and posts the results to the control thread. */
@@ -76,9 +80,29 @@
 
     private fun readOnce(pollMillis: Long) {
         if (needsStages) readStages()
-        val after = instruction.offset
+        val known = instruction
+        val after = known.offset
         readAfter(after, pollMillis).fold(
-            success = { if (it.earliestOffset > after + 1) recover(it.earliestOffset) else accept(after, it) },
+            success = {
+                when {
+                    it.era > known.era && after != NO_OFFSET -> readNewEra(it.era)
+                    it.era < known.era -> pauseMillis(settings.minBackoffMillis)
+                    it.earliestOffset > after + 1 -> recover(it.earliestOffset)
+                    else -> accept(after, it)
+                }
+            },
+            failure = { handle(it) },
+        )
+    }
+
+    /**
+     * Reads the log of a later era from its start: it has lost records that this node holds, and may hold others at
+     * their offsets. The stages of ordered moves may be lost too.
+     */
+    private fun readNewEra(era: Long) {
+        needsStages = true
+        counted(log.readNewest(StreamName.CONFIGURATION, NO_OFFSET, settings.maxReadRecords)).fold(
+            success = { if (it.era >= era) accept(NO_OFFSET, it) else pauseMillis(settings.minBackoffMillis) },
             failure = { handle(it) },
         )
     }
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/OrderedMoves.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/OrderedMoves.kt
@@ -11,6 +11,7 @@
 import dev.baobabhollow.model.OTHER_RELEASES
 import dev.baobabhollow.model.OrderedStage
 import dev.baobabhollow.model.ServiceId
+import dev.baobabhollow.model.orderPosition
 
 /**
  * Keeps the stages of moves that operators start by an order instead of a patch. Nodes exchange the stages by gossip;
@@ -18,11 +19,18 @@
  * thread.
  *
  * Of two stages of a move a final one wins, then the higher one, so nodes converge whatever the order of arrival.
+ *
+ * An order that is read in a later era of the log continues the newest move of its service from earlier eras if that is
+ * to the same release: the log has lost the order, and the operator has written it again. The move keeps its identifier.
  */
 internal class OrderedMoves(
     private val clock: () -> Long,
 ) {
     private val moves = LinkedHashMap<MoveId, MoveState>()
+
+    /** Identifiers of orders that continue a move of an earlier era, with that of the move. */
+    private val continuedMoves = HashMap<MoveId, MoveId>()
+    private var current: Set<MoveId> = emptySet()
     private var merged: ConfigurationState? = null
     private var mergedFrom: ConfigurationState? = null
     private var nextStageIndex = 0
@@ -33,13 +41,28 @@
         if (known != null && mergedFrom === state) return known
         addOrders(state.orders)
         // A newer order for a service replaces the previous one.
-        val current = state.orders.values.associate { it.move to moves.getValue(it.move) }
-        val result = if (current.isEmpty()) state else state.copy(moves = state.moves + current)
+        val ordered = current.associateWith(moves::getValue)
+        val result = if (ordered.isEmpty()) state else state.copy(moves = state.moves + ordered)
         mergedFrom = state
         merged = result
         return result
     }
 
+    /** Returns the identifier of the move that the order [move] continues, or [move] itself. */
+    fun continuedMove(move: MoveId): MoveId = continuedMoves[move] ?: move
+
+    /**
+     * Returns the stages of current moves that a log which holds only [stored] has lost. Final stages known here were
+     * stored before they took effect.
+     */
+    fun lostStages(stored: List<OrderedStage>): List<OrderedStage> {
+        val storedByMove = stored.associateBy { continuedMove(it.move) }
+        return current
+            .map { stageOf(it, moves.getValue(it)) }
+            .filter { it.stage > 0 }
+            .filter { stage -> storedByMove[stage.move]?.let { stage.phase.isFinal && !it.phase.isFinal } ?: true }
+    }
+
     /** Applies [record] and returns the new stage, or returns null if it does not follow the current stage. */
     fun apply(record: MoveStageRecord): OrderedStage? {
         val before = moves[record.move] ?: return null
@@ -54,7 +77,7 @@
      * readings of another node's clock, so they are used only for a move that is not known here.
      */
     fun merge(stage: OrderedStage): Boolean {
-        val plan = moves[stage.move]?.plan ?: planOf(stage, minOf(0, clock() - stage.startedAtMillis))
+        val plan = moves[continuedMove(stage.move)]?.plan ?: planOf(stage, minOf(0, clock() - stage.startedAtMillis))
         return adopt(stage, plan)
     }
 
@@ -67,7 +90,7 @@
         stage: OrderedStage,
         sentAtMillis: Long,
     ): Boolean {
-        val known = moves[stage.move]?.plan
+        val known = moves[continuedMove(stage.move)]?.plan
         val received = planOf(stage, clock() - sentAtMillis)
         return adopt(stage, if (known != null && known.startAtMillis <= received.startAtMillis) known else received)
     }
@@ -84,7 +107,8 @@
         stage: OrderedStage,
         plan: MovePlan,
     ): Boolean {
-        val before = moves[stage.move]
+        val id = continuedMove(stage.move)
+        val before = moves[id]
         if (before != null && !supersedes(stage, before)) return false
         val next =
             MoveState(
@@ -98,7 +122,7 @@
                 stageAtMillis = clock(),
                 fullShareAtMillis = if (stage.phase == MovePhase.WATCHING) clock() else before?.fullShareAtMillis,
             )
-        put(stage.move, next)
+        put(id, next)
         return true
     }
 
@@ -129,10 +153,37 @@
 
     private fun addOrders(orders: Map<ServiceId, MoveOrder>) {
         orders.forEach { (service, order) ->
-            if (order.move !in moves) put(order.move, newMove(service, order))
+            if (order.move !in continuedMoves) findContinuedMove(service, order)?.let { continueMove(order.move, it) }
+            val id = continuedMove(order.move)
+            if (id !in moves) put(id, newMove(service, order))
         }
-        val current = orders.values.mapTo(HashSet()) { it.move }
+        current = orders.values.mapTo(LinkedHashSet()) { continuedMove(it.move) }
         if (moves.size > current.size + MAX_OLD_MOVES) moves.keys.removeIf { it !in current }
+        continuedMoves.values.removeIf { it !in moves }
+    }
+
+    /** Returns the newest move of [service] from earlier eras than [order], if that is to the same release. */
+    private fun findContinuedMove(
+        service: ServiceId,
+        order: MoveOrder,
+    ): MoveId? {
+        val era = order.move.orderPosition?.era ?: return null
+        return moves.entries
+            .filter { (id, move) -> move.plan.service == service && (id.orderPosition?.era ?: era) < era }
+            .maxByOrNull { (id, _) -> id.orderPosition ?: return null }
+            ?.takeIf { it.value.plan.to == order.release && it.key !in continuedMoves.values }
+            ?.key
+    }
+
+    /** Continues [move] under the order [order], with the stage that was reached under the identifier of the order. */
+    private fun continueMove(
+        order: MoveId,
+        move: MoveId,
+    ) {
+        continuedMoves[order] = move
+        val reached = moves.remove(order) ?: return
+        val before = moves.getValue(move)
+        if (supersedes(stageOf(move, reached), before)) put(move, reached.copy(plan = before.plan))
     }
 
     private fun newMove(
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/PeerMessages.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/PeerMessages.kt
@@ -4,6 +4,7 @@
 import dev.baobabhollow.configuration.StateTransfer
 import dev.baobabhollow.membership.MembershipMessage
 import dev.baobabhollow.model.FailureDomainId
+import dev.baobabhollow.model.LogPosition
 import dev.baobabhollow.model.MoveId
 import dev.baobabhollow.model.NodeId
 import dev.baobabhollow.model.OrderedStage
@@ -13,14 +14,20 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
 
-/** Position of a node's configuration state. [isConfirmed] is false until peers or the log have provided the state. */
+/**
+ * Position of a node's configuration state: the [era] of the log and the offset within it. [isConfirmed] is false until
+ * peers or the log have provided the state.
+ */
 @Serializable
 internal data class Position(
     @SerialName("o") val offset: Long,
     @SerialName("v") val version: Long,
     @SerialName("h") val contentHash: String,
     @SerialName("c") val isConfirmed: Boolean = true,
-)
+    @SerialName("e") val era: Long = 0,
+) {
+    val logPosition: LogPosition get() = LogPosition(era, offset)
+}
 
 /**
  * Content of one UDP datagram. Serial names are short to save bytes on the wire. [sentAtMillis] is the reading of the
@@ -59,7 +66,8 @@
 /**
  * Requests the records after [afterOffset]. The response is a [Push], [WholeState], [NothingNew] or [Refused].
  * [takesChanges] is true if the sender accepts changes in place of full configurations, and [takesDeflated] if it
- * accepts a [Deflated] response.
+ * accepts a [Deflated] response. In eras of the log above 0, [contentHash] is that of the sender's state, which a
+ * receiver at the same position answers with its own state if that differs.
  */
 @Serializable
 @SerialName("pull")
@@ -67,6 +75,8 @@
     val afterOffset: Long,
     val takesChanges: Boolean = false,
     val takesDeflated: Boolean = false,
+    val era: Long = 0,
+    val contentHash: String? = null,
 ) : FrameBody
 
 /** Another body, encoded as CBOR and compressed with DEFLATE. */
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/PullResponder.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/PullResponder.kt
@@ -2,6 +2,7 @@
 
 import dev.baobabhollow.configuration.ConfigurationReplica
 import dev.baobabhollow.configuration.RecordBatch
+import dev.baobabhollow.model.LogPosition
 
 /** Responds to the pulls of peers from [replica]. Confined to the control thread. */
 internal class PullResponder(
@@ -20,18 +21,33 @@
         position: Position,
         nowMillis: Long,
     ): FrameBody {
-        if (pull.afterOffset >= position.offset ||
-            !position.isConfirmed
-        ) {
-            return counted("nothing", NothingNew(position))
-        }
-        val records = replica.recordsAfter(pull.afterOffset)?.takeIf { it.entries.size <= MAX_DELTA_RECORDS }
+        if (!position.isConfirmed || !hasNews(pull, position)) return counted("nothing", NothingNew(position))
+        val isBehindInEra = pull.era == position.era && pull.afterOffset < position.offset
+        val records =
+            if (isBehindInEra) {
+                replica
+                    .recordsAfter(
+                        pull.afterOffset,
+                    )?.takeIf { it.entries.size <= MAX_DELTA_RECORDS }
+            } else {
+                null
+            }
         if (records == null) limit.admit(nowMillis)?.let { return counted("refused", Refused(it)) }
         if (cachedResponses.size >= MAX_CACHED_RESPONSES) cachedResponses.clear()
         val body = cachedResponses.getOrPut(pull) { newResponse(pull, records) }
         return counted(if (records == null) "state" else "records", body)
     }
 
+    /** True if this node is ahead, or at the same position of an era above 0 with another state. */
+    private fun hasNews(
+        pull: Pull,
+        position: Position,
+    ): Boolean {
+        val pulled = LogPosition(pull.era, pull.afterOffset)
+        if (pulled != position.logPosition) return pulled < position.logPosition
+        return pull.contentHash != null && pull.contentHash != position.contentHash
+    }
+
     /** Drops all cached responses. Must be called when the replica has changed. */
     fun clear() = cachedResponses.clear()
 
--- a/peers/src/test/kotlin/dev/baobabhollow/peers/FakePlatformLog.kt
+++ b/peers/src/test/kotlin/dev/baobabhollow/peers/FakePlatformLog.kt
@@ -17,6 +17,7 @@
 internal class FakePlatformLog {
     private val entries = mutableListOf<LogEntry>()
     private var earliest = 0L
+    private var era = 0L
     private val lock = Object()
     val reads = AtomicInteger()
     val lostResponses = AtomicInteger()
@@ -45,6 +46,14 @@
             offset
         }
 
+    /** Returns from a copy that holds only the first [count] records, and starts the next era. */
+    fun comeBackWith(count: Int) =
+        synchronized(lock) {
+            era++
+            while (entries.size > count) entries.removeLast()
+            lock.notifyAll()
+        }
+
     /** Drops all records below [offset]. */
     fun trim(offset: Long) = synchronized(lock) { earliest = offset }
 
@@ -71,7 +80,18 @@
 
             override fun orderedStages(): Result<List<OrderedStage>, LogError> {
                 val fails = failingStageReads.getAndUpdate { maxOf(0, it - 1) } > 0
-                return if (fails) Err(LogError.Unavailable("stages")) else Ok(stages)
+                return if (fails || isDown || isCut()) Err(LogError.Unavailable("stages")) else Ok(stages)
+            }
+
+            override fun storeStage(
+                stage: OrderedStage,
+                deadlineMillis: Long,
+            ): Result<OrderedStage, LogError> {
+                if (isDown || isCut()) return Err(LogError.Unavailable("stages"))
+                synchronized(lock) {
+                    stages = stages.filter { it.service != stage.service } + stage
+                }
+                return Ok(stage)
             }
         }
 
@@ -91,7 +111,7 @@
             if (isDown || isCut()) return Err(LogError.Unavailable("down"))
             if (after + 1 < earliest) return Err(LogError.Trimmed(earliest))
             val found = if (hidesRecords) emptyList() else entries.filter { it.offset > after }.take(max)
-            return Ok(LogBatch(found, earliest, entries.size.toLong(), RETENTION_MILLIS))
+            return Ok(LogBatch(found, earliest, entries.size.toLong(), RETENTION_MILLIS, era))
         }
     }
 
--- a/peers/src/test/kotlin/dev/baobabhollow/peers/OrderedMovesSpec.kt
+++ b/peers/src/test/kotlin/dev/baobabhollow/peers/OrderedMovesSpec.kt
@@ -17,6 +17,9 @@
 private val RELEASE = ReleaseId("v2")
 private val MOVE = MoveId("s/4")
 
+/** Move of an order that was written at the same offset in the next era of the log. */
+private val LATER_MOVE = MoveId("s/1.4")
+
 private fun stage(
     number: Int,
     phase: MovePhase,
@@ -34,7 +37,10 @@
     DescribeSpec({
         val state = ConfigurationState(orders = mapOf(SERVICE to MoveOrder(MOVE, RELEASE, 100)))
 
-        fun OrderedMoves.plan() = mergeInto(state).moves.getValue(MOVE).plan
+        fun OrderedMoves.plan(of: ConfigurationState = state) = mergeInto(of).moves.getValue(MOVE).plan
+
+        fun laterState(release: ReleaseId) =
+            ConfigurationState(era = 1, orders = mapOf(SERVICE to MoveOrder(LATER_MOVE, release, 100)))
 
         describe("an ordered move") {
             it("starts with a share of zero when its order is read") {
@@ -142,6 +148,62 @@
                     .phase shouldBe MovePhase.RAMPING
             }
 
+            // Guards against a release that gets traffic again because the log has lost its take-back.
+            it("keeps its identifier and its final stage when its order is written again in a later era") {
+                val moves = OrderedMoves { 5 }
+                moves.merge(stage(4, MovePhase.TAKEN_BACK, 0))
+                moves.mergeInto(laterState(RELEASE)).moves.keys shouldBe setOf(MOVE)
+                moves.plan(laterState(RELEASE)).to shouldBe RELEASE
+                moves.merge(stage(9, MovePhase.DONE, 1_000, LATER_MOVE)) shouldBe false
+                moves
+                    .mergeInto(laterState(RELEASE))
+                    .moves
+                    .getValue(MOVE)
+                    .phase shouldBe MovePhase.TAKEN_BACK
+            }
+
+            // Guards against a restarted node that has read the later order before it hears of the move.
+            it("takes over the stage that was reached under the identifier of the later order") {
+                val moves = OrderedMoves { 5 }
+                moves.merge(stage(1, MovePhase.RAMPING, 30, LATER_MOVE))
+                moves.mergeInto(laterState(RELEASE)).moves.keys shouldBe setOf(LATER_MOVE)
+                moves.merge(stage(2, MovePhase.TAKEN_BACK, 0, LATER_MOVE))
+                moves.merge(stage(3, MovePhase.RAMPING, 300))
+                val merged = moves.mergeInto(laterState(RELEASE)).moves
+                merged.keys shouldBe setOf(MOVE)
+                merged.getValue(MOVE).phase shouldBe MovePhase.TAKEN_BACK
+            }
+
+            // Guards against an order that is never carried out because an earlier one had its offset.
+            it("is another one if the order of the later era is for another release") {
+                val moves = OrderedMoves { 5 }
+                moves.merge(stage(4, MovePhase.DONE, 1_000))
+                val merged = moves.mergeInto(laterState(ReleaseId("v3"))).moves
+                merged.keys shouldBe setOf(LATER_MOVE)
+                merged.getValue(LATER_MOVE).phase shouldBe MovePhase.RAMPING
+            }
+
+            // Guards against a return to a release that is taken for the move to it before the present one.
+            it("is another one if another release was ordered in between") {
+                val moves = OrderedMoves { 5 }
+                moves.merge(stage(4, MovePhase.DONE, 1_000))
+                moves.merge(stage(4, MovePhase.DONE, 1_000, MoveId("s/5")).copy(to = ReleaseId("v3")))
+                moves.mergeInto(laterState(RELEASE)).moves.keys shouldBe setOf(LATER_MOVE)
+            }
+
+            // Guards against an acknowledged status that stays lost.
+            it("has lost a stage if the log holds none or only an earlier one") {
+                val moves = OrderedMoves { 5 }
+                moves.mergeInto(state)
+                moves.lostStages(emptyList()) shouldBe emptyList()
+                val final = stage(4, MovePhase.TAKEN_BACK, 0)
+                moves.merge(final)
+                moves.mergeInto(state)
+                moves.lostStages(emptyList()) shouldBe listOf(final)
+                moves.lostStages(listOf(stage(1, MovePhase.RAMPING))) shouldBe listOf(final)
+                moves.lostStages(listOf(final)) shouldBe emptyList()
+            }
+
             it("repeats only stages that were decided") {
                 val moves = OrderedMoves { 5 }
                 moves.mergeInto(state)
