--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -90,7 +90,13 @@
     private val platformServers = platformServers()
     private val nodeDiscovery =
         adapter.directory?.let {
-            NodeDiscovery(it, settings.node, settings.addresses.control, ::liveNodes, control::join)
+            NodeDiscovery(
+                it,
+                settings.node,
+                settings.addresses.control,
+                ::liveNodes,
+                control::join,
+            ) { control.state.era }
         }
 
     init {
--- a/node/src/main/kotlin/dev/baobabhollow/node/NodeDiscovery.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/NodeDiscovery.kt
@@ -10,7 +10,8 @@
 /**
  * Registers the node in [directory] and joins the listed nodes, on its own thread. Once the node knows others, gossip
  * membership maintains the list without the platform. While it knows fewer nodes than are listed, it reads the list
- * again.
+ * again, and also in each later era of the store, which the directory or [stateEra] tells: the store may have lost the
+ * registration.
  */
 internal class NodeDiscovery(
     private val directory: NodeDirectory,
@@ -18,12 +19,14 @@
     private val endpoint: Endpoint,
     private val knownNodes: () -> Set<NodeId>,
     private val join: (List<Endpoint>) -> Boolean,
+    private val stateEra: () -> Long,
 ) : AutoCloseable {
     private val thread = Thread(::run, "directory").apply { isDaemon = true }
 
     @Volatile
     private var isStopped = false
     private var isListed = false
+    private var listedEra = 0L
     private var isFailing = false
 
     fun start() = thread.start()
@@ -51,12 +54,21 @@
 
     /** Returns true if the node is listed and knows all listed nodes. */
     private fun refresh(): Boolean {
+        val era = maxOf(directory.era, stateEra())
+        if (isListed && era > listedEra) {
+            EventLog.write("directory_checked_again", "era" to era, "era_before" to listedEra)
+            isListed = false
+        }
         // Membership needs no list as long as it has contact with other nodes.
         if (isListed && knownNodes().size > GOSSIP_SUFFICIENT_NODES) return true
-        return directory.nodes().fold(success = { mergeListed(it) }, failure = { logFailure("read", it) })
+        return directory.nodes().fold(success = { mergeListed(it, era) }, failure = { logFailure("read", it) })
     }
 
-    private fun mergeListed(listed: Map<NodeId, Endpoint>): Boolean {
+    private fun mergeListed(
+        listed: Map<NodeId, Endpoint>,
+        era: Long,
+    ): Boolean {
+        listedEra = era
         if (isFailing) EventLog.write("directory_regained", "listed" to listed.size)
         isFailing = false
         val known = knownNodes()
--- a/node/src/main/kotlin/dev/baobabhollow/node/PlatformAdapter.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/PlatformAdapter.kt
@@ -34,6 +34,12 @@
 
 /** Directory on the platform from which a node learns the addresses of other nodes. Calls block. */
 interface NodeDirectory {
+    /**
+     * Latest known era of the platform's store. It increases each time that the store returns from an older copy, which
+     * may lack nodes that were added.
+     */
+    val era: Long get() = 0
+
     /** Returns the control endpoints of all listed nodes. */
     fun nodes(): Result<Map<NodeId, Endpoint>, LogError>
 
