Model a log that returns from an older copy

The exploration found that a replica ignored a later order for good if its offset was below that of a held one, and that an order could survive two returns and count as new. Eras each have a start, and orders that a replica has not held before count as written after the log returned.

--- a/configuration/src/main/kotlin/dev/baobabhollow/configuration/ConfigurationReplica.kt
+++ b/configuration/src/main/kotlin/dev/baobabhollow/configuration/ConfigurationReplica.kt
@@ -15,13 +15,21 @@
  * Batches and states must be offered by a single thread; any thread may read [state]. Neither the position of the
  * state, its era and then its offset, nor its version ever decreases.
  */
-class ConfigurationReplica(
-    initial: ConfigurationState = ConfigurationState.INITIAL,
+class ConfigurationReplica internal constructor(
+    initial: ConfigurationState,
+    replaced: ReplacedOrders,
 ) {
+    /** Creates a replica that starts with [initial]. */
+    constructor(initial: ConfigurationState = ConfigurationState.INITIAL) : this(initial, ReplacedOrders())
+
     private val current = AtomicReference(initial)
     private val tail = ArrayDeque<LogEntry>()
     private val recent = RecentMeshes().also { it.add(initial) }
     private val hasher = ContentHasher()
+
+    /** Orders that this replica has replaced. */
+    internal var replacedOrders = replaced
+        private set
     private var tailAfterOffset = initial.offset
 
     /** Latest complete state. */
@@ -35,22 +43,26 @@
         if (batch.era < state.era) return OfferResult.Unchanged
         if (!isOrdered(batch)) return OfferResult.Rejected("offsets of the batch are not strictly ascending")
         val isNewEra = batch.era > state.era
-        val before = if (isNewEra) state.enterEra(batch.era, batch.endOffset) else state
+        val before = if (isNewEra) state.enterEra(batch, replacedOrders) else state
         if (batch.afterOffset > before.offset) return OfferResult.Gap(state.offset)
         val fresh = batch.entries.filter { it.offset > before.offset }
         if (fresh.isEmpty() && !isNewEra) return OfferResult.Unchanged
         val decodedEntries = mutableListOf<LogEntry>()
         var next = before
+        var replaced = replacedOrders
         for (entry in fresh) {
             val decoded =
                 deltaDecoded(entry, next) ?: return OfferResult.Rejected("a change does not apply to the configuration")
-            next = fold(next, decoded)
+            val folded = fold(next, decoded)
+            replaced = replaced.with(next, folded)
+            next = folded
             decodedEntries += decoded
         }
         if (isNewEra) {
             recent.clear()
             forgetRecords(NO_OFFSET)
         }
+        replacedOrders = replaced
         current.set(next)
         recent.add(next)
         appendToTail(decodedEntries)
@@ -98,10 +110,11 @@
         if (hasher.hash(received) != transfer.contentHash) {
             return OfferResult.Rejected("content hash of the state does not match")
         }
-        val next = if (received.era > 0) received.withRetained(state, hasher::hash) else received
+        val next = if (received.era > 0) received.withRetained(state, replacedOrders, hasher::hash) else received
         if (next == state) return OfferResult.Unchanged
         if (received.era != state.era || isMergeable) recent.clear()
         if (!isMergeable) forgetRecords(next.offset)
+        replacedOrders = replacedOrders.with(state, next)
         current.set(next)
         recent.add(next)
         return OfferResult.Applied(state)
--- a/configuration/src/test/kotlin/dev/baobabhollow/configuration/check/ConfigurationProtocolSpec.kt
+++ b/configuration/src/test/kotlin/dev/baobabhollow/configuration/check/ConfigurationProtocolSpec.kt
@@ -5,9 +5,12 @@
 import dev.baobabhollow.configuration.moveId
 import dev.baobabhollow.model.ConfigurationState
 import dev.baobabhollow.model.LogEntry
+import dev.baobabhollow.model.MoveId
 import dev.baobabhollow.model.MovePhase
 import dev.baobabhollow.model.MoveStageRecord
 import dev.baobabhollow.model.PatchRecord
+import dev.baobabhollow.model.RecordBody
+import dev.baobabhollow.model.orderPosition
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
@@ -31,6 +34,54 @@
             }
         }
 
+        describe("a log that returns from an older copy, explored exhaustively within bounds") {
+            fun explored(
+                losses: Int,
+                restarts: Int,
+                rules: StoreEraRules = StoreEraRules(),
+                toWrite: List<RecordBody> = listOf(configuration(2), order(2), order(3)),
+            ): Exploration<StoreEraState> {
+                val written = listOf(configuration(1), order(1))
+                return explore(StoreEraProtocol(written, toWrite, losses, restarts, rules))
+            }
+
+            fun check(result: Exploration<StoreEraState>) {
+                println("${result.states} states, ${result.transitions} transitions")
+                result.violation?.let { it.invariant to it.trace }.shouldBeNull()
+                result.isComplete shouldBe true
+            }
+
+            it("keeps every invariant when two suffixes are lost") {
+                check(explored(losses = 2, restarts = 0, toWrite = listOf(order(2))))
+            }
+
+            it("keeps every invariant when a suffix is lost and a replica restarts") {
+                check(explored(losses = 1, restarts = 1))
+            }
+
+            // Holds only while no replica has missed an order: one that has takes the order that it missed for a new one.
+            it("returns to no replaced order when the log loses one order") {
+                val orders = listOf(configuration(2), order(2))
+                check(explored(losses = 1, restarts = 0, StoreEraRules(returnsToNoOrder = true), orders))
+            }
+
+            // Guards against replicas that permanently ignore what is written at offsets that they have seen.
+            it("breaks an invariant when the era is dropped") {
+                val rules = StoreEraRules(eraOfBatch = { 0 })
+                explored(1, 0, rules).violation?.invariant shouldBe "a replica at the end holds the newest records"
+            }
+
+            it("breaks an invariant when identifiers of moves lack the era") {
+                val rules = StoreEraRules(afterRead = ::withoutErasOfMoves)
+                explored(1, 0, rules).violation?.invariant shouldBe "an identifier stands for one order"
+            }
+
+            it("breaks an invariant when a replica takes a state without keeping what it holds") {
+                val rules = StoreEraRules(merges = false)
+                explored(1, 0, rules).violation?.invariant shouldBe "no replica goes back"
+            }
+        }
+
         describe("an invariant fails when its rule is broken:") {
             fun violated(rules: Rules) = explore(ConfigurationProtocol(Bounds(), rules)).violation?.invariant
 
@@ -76,6 +127,15 @@
         }
     })
 
+private fun withoutErasOfMoves(state: ConfigurationState) =
+    state.copy(
+        orders =
+            state.orders.mapValues { (service, order) ->
+                val offset = order.move.orderPosition?.offset
+                order.copy(move = MoveId("$service/$offset"))
+            },
+    )
+
 private fun withBaseVersionOf(
     state: ConfigurationState,
     entry: LogEntry,
--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -90,13 +90,7 @@
     private val platformServers = platformServers()
     private val nodeDiscovery =
         adapter.directory?.let {
-            NodeDiscovery(
-                it,
-                settings.node,
-                settings.addresses.control,
-                ::liveNodes,
-                control::join,
-            ) { control.state.era }
+            NodeDiscovery(it, settings.node, settings.addresses.control, ::liveNodes, control::join, control::era)
         }
 
     init {
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlane.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlane.kt
@@ -73,6 +73,9 @@
     /** Latest confirmed configuration state, or the initial one. */
     val state: ConfigurationState get() = thread.published.state
 
+    /** Era of the log in the latest confirmed state. It increases when the log returns from an older copy. */
+    val era: Long get() = state.era
+
     /** Latest view of the fleet. */
     val view: FleetView get() = thread.published.view
 
