--- a/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
@@ -111,8 +111,9 @@
                         nextPermille = if (move == null || moveId in heldMoves) 0 else move.sharePermille,
                     )
                 }
-            // The order of a move may be read from the log before the first configuration.
-            val isReady = state.offset > NO_OFFSET && (state.version > 0 || state.orders.isEmpty())
+            // The order of a move may be read from the log before the first configuration, and a log that returned from
+            // a copy may be empty.
+            val isReady = state.version > 0 || (state.offset > NO_OFFSET && state.orders.isEmpty())
             return RoutingTable(
                 state.version,
                 view.revision,
--- a/calls/src/test/kotlin/dev/baobabhollow/calls/RoutingTableSpec.kt
+++ b/calls/src/test/kotlin/dev/baobabhollow/calls/RoutingTableSpec.kt
@@ -2,6 +2,7 @@
 
 import dev.baobabhollow.model.ConfigurationState
 import dev.baobabhollow.model.MovePhase
+import dev.baobabhollow.model.NO_OFFSET
 import dev.baobabhollow.model.NodeRecord
 import dev.baobabhollow.model.NodeStatus
 import dev.baobabhollow.model.ServiceId
@@ -29,6 +30,12 @@
                 table.match("/b/1") shouldBe null
             }
 
+            // Guards against nodes that refuse all calls since the log returned from a copy without records.
+            it("is ready with the configuration that a node keeps from an earlier era of the log") {
+                compile(ConfigurationState.INITIAL).isReady shouldBe false
+                compile(state().copy(version = 3, offset = NO_OFFSET, era = 1)).isReady shouldBe true
+            }
+
             it("holds only targets that accept new calls") {
                 val nodes =
                     listOf(
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
@@ -254,7 +254,7 @@
     private fun updatePosition(origin: Origin) {
         val before = position
         position = Position(state.offset, state.version, replica.contentHash, before.isConfirmed, state.era)
-        if (state.era > before.era) reportEra(before, origin)
+        if (state.era > before.era && before.isConfirmed) reportEra(before, origin)
         needsFullState = false
         pullResponder.clear()
         LOG.info(
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/OrderedMoves.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/OrderedMoves.kt
@@ -42,7 +42,17 @@
         addOrders(state.orders)
         // A newer order for a service replaces the previous one.
         val ordered = current.associateWith(moves::getValue)
-        val result = if (ordered.isEmpty()) state else state.copy(moves = state.moves + ordered)
+        val orders =
+            if (continuedMoves.isEmpty()) {
+                state.orders
+            } else {
+                state.orders.mapValues {
+                    withContinuedMove(
+                        it.value,
+                    )
+                }
+            }
+        val result = if (ordered.isEmpty()) state else state.copy(moves = state.moves + ordered, orders = orders)
         mergedFrom = state
         merged = result
         return result
@@ -51,6 +61,8 @@
     /** Returns the identifier of the move that the order [move] continues, or [move] itself. */
     fun continuedMove(move: MoveId): MoveId = continuedMoves[move] ?: move
 
+    private fun withContinuedMove(order: MoveOrder) = order.copy(move = continuedMove(order.move))
+
     /**
      * Returns the stages of current moves that a log which holds only [stored] has lost. Final stages known here were
      * stored before they took effect.
--- a/peers/src/test/kotlin/dev/baobabhollow/peers/OrderedMovesSpec.kt
+++ b/peers/src/test/kotlin/dev/baobabhollow/peers/OrderedMovesSpec.kt
@@ -152,7 +152,10 @@
             it("keeps its identifier and its final stage when its order is written again in a later era") {
                 val moves = OrderedMoves { 5 }
                 moves.merge(stage(4, MovePhase.TAKEN_BACK, 0))
-                moves.mergeInto(laterState(RELEASE)).moves.keys shouldBe setOf(MOVE)
+                val merged = moves.mergeInto(laterState(RELEASE))
+                merged.moves.keys shouldBe setOf(MOVE)
+                // Routing looks the move of a service up by its order.
+                merged.orders.getValue(SERVICE).move shouldBe MOVE
                 moves.plan(laterState(RELEASE)).to shouldBe RELEASE
                 moves.merge(stage(9, MovePhase.DONE, 1_000, LATER_MOVE)) shouldBe false
                 moves
--- a/peers/src/test/kotlin/dev/baobabhollow/peers/PeerCodecSpec.kt
+++ b/peers/src/test/kotlin/dev/baobabhollow/peers/PeerCodecSpec.kt
@@ -102,7 +102,8 @@
             val random = SplittableRandom(7)
             val left = membership(recordOf(0, 0), MembershipSettings(), random.split())
             val right = membership(recordOf(1, 0), MembershipSettings(), random.split())
-            val position = Position(Long.MAX_VALUE, Long.MAX_VALUE, "0123456789abcdef0123456789abcdef")
+            val hash = "0123456789abcdef0123456789abcdef"
+            val position = Position(Long.MAX_VALUE, Long.MAX_VALUE, hash, era = Long.MAX_VALUE)
             val alert = MoveAlert(MoveId("vitrina-7-to-8"), 4, NodeId("node-0-0-4f2a9c"), "x".repeat(60))
             val nodes = (0 until 13).flatMap { domain -> (1..20).map { recordOf(domain, it) } }
             nodes.forEach { record ->
