--- a/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
@@ -117,9 +117,10 @@
                         nextPermille = if (move == null || moveId in heldMoves) 0 else move.sharePermille,
                     )
                 }
-            // Orders of operators may be read from the log before the first configuration.
+            // Orders of operators may be read from the log before the first configuration, and a log that returned from a
+            // copy may be empty.
             val hasOrders = state.orders.isNotEmpty() || state.evacuatedDomains.isNotEmpty()
-            val isReady = state.offset > NO_OFFSET && (state.version > 0 || !hasOrders)
+            val isReady = state.version > 0 || (state.offset > NO_OFFSET && !hasOrders)
             return RoutingTable(
                 state.version,
                 view.revision,
--- a/model/src/main/kotlin/dev/baobabhollow/model/ConfigurationState.kt
+++ b/model/src/main/kotlin/dev/baobabhollow/model/ConfigurationState.kt
@@ -10,6 +10,11 @@
  * Result of folding the configuration stream through [offset]. All readers that fold the same records reach equal
  * states.
  *
+ * [era] is that of the log, and offsets of different eras are not comparable. At the start of an era the state keeps the
+ * configuration and the orders of the previous one until the log holds newer ones. [eraStarts] holds, for each era, the
+ * lowest offset whose record is known to have been written in that era: earlier records may come from the copy from
+ * which the log returned.
+ *
  * [currentReleases] maps each service to the release that receives all calls except the share of a running move.
  * Targets in [evacuatedDomains], which are sorted by name, get no calls.
  */
@@ -27,6 +32,8 @@
     val lastAppendedAtMillis: Long = 0,
     val orders: Map<ServiceId, MoveOrder> = emptyMap(),
     val evacuatedDomains: Set<FailureDomainId> = emptySet(),
+    val era: Long = 0,
+    val eraStarts: Map<Long, Long> = emptyMap(),
 ) {
     /** Contains the initial state. */
     companion object {
