Count calls by tenant, at most 100 of them by name

Operators need to see which tenant sends and is refused how much; a time series for each of thousands of tenants would exceed the node's memory.

--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
@@ -267,6 +267,7 @@
         val micros = node.nowMicros() - startMicros
         node.recorder.recordCall(route, isError = code >= SERVER_ERRORS, micros)
         node.metrics.countCall(route.id.value, code, micros)
+        tenant?.let { node.metrics.countTenantCall(it, code) }
     }
 
     private fun lastTriedNode() = tried.lastOrNull()
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyMetrics.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyMetrics.kt
@@ -1,5 +1,6 @@
 package dev.baobabhollow.proxy
 
+import dev.baobabhollow.model.TenantId
 import io.prometheus.metrics.core.datapoints.CounterDataPoint
 import io.prometheus.metrics.core.datapoints.DistributionDataPoint
 import io.prometheus.metrics.core.metrics.Counter
@@ -39,6 +40,14 @@
             .name("baobabhollow_call_retries_total")
             .help("Attempts after the first one")
             .register(registry)
+    private val tenantCalls =
+        Counter
+            .builder()
+            .name("baobabhollow_tenant_calls_total")
+            .help("Calls at the entry node by tenant and status class of the answer, for the first $MAX_TENANTS tenants")
+            .labelNames("tenant", "status")
+            .register(registry)
+    private val tenantNames = BoundedNames(MAX_TENANTS, OTHER_TENANTS)
     private val callPoints = ConcurrentHashMap<String, Array<CounterDataPoint>>()
     private val secondPoints = ConcurrentHashMap<String, DistributionDataPoint>()
 
@@ -52,6 +61,11 @@
         secondPoints.computeIfAbsent(route) { seconds.labelValues(route) }.observe(micros / MICROS_PER_SECOND)
     }
 
+    internal fun countTenantCall(
+        tenant: TenantId,
+        status: Int,
+    ) = tenantCalls.labelValues(tenantNames.nameOf(tenant.value), "${status / STATUSES_PER_CLASS}xx").inc()
+
     internal fun countFailure(
         leg: String,
         failure: CallFailure,
@@ -63,5 +77,11 @@
         const val CLASSES = 5
         const val STATUSES_PER_CLASS = 100
         const val MICROS_PER_SECOND = 1_000_000.0
+
+        /** Bounds the time series, since a configuration may have thousands of tenants. */
+        const val MAX_TENANTS = 100
+
+        /** Label of all further tenants. No tenant can have this name, which ends with a space. */
+        const val OTHER_TENANTS = "other "
     }
 }
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/TenantSpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/TenantSpec.kt
@@ -9,7 +9,10 @@
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import io.netty.handler.codec.http.HttpHeaders
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import io.prometheus.metrics.model.snapshots.CounterSnapshot
 import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.concurrent.thread
 
 /** Passes the tenant on in a header of its own, like a platform whose targets do not know the mesh headers. */
 private object TenantHeaderProtocol : CallProtocol by MeshProtocol {
@@ -29,6 +32,9 @@
 
 private const val CALLS = 23
 
+/** Time within which a call reaches the queue of its owner. */
+private const val QUEUED_MILLIS = 300L
+
 private fun tenants(vararg keys: Pair<String, String>) =
     keys.groupBy({ TenantId(it.first) }, { ApiKeyDigest.of(it.second.toByteArray()) }).mapValues {
         TenantConfig(it.value.toSet())
@@ -191,6 +197,60 @@
             }
         }
 
+        describe("a call that waits for a slot") {
+            // Guards against an owner that orders calls by the route alone, or does not know the tenant.
+            it("is served by the priority of its tenant before that of its route") {
+                val order = CopyOnWriteArrayList<String?>()
+                val started = Signal<Unit>()
+                val release = Signal<Unit>()
+                ScriptedTarget
+                    .responding {
+                        order += it.headers["customer"]
+                        started.send(Unit)
+                        release.await()
+                        respond("ok")
+                    }.use { held ->
+                        TestMesh(listOf(held.port), slots = 1, settings = settings).use { mesh ->
+                            val priorities = mapOf("first" to null, "low" to 7, "high" to 0)
+                            mesh.publish(
+                                priorities.entries.associate { (name, priority) ->
+                                    val key = ApiKeyDigest.of(name.toByteArray())
+                                    TenantId(name) to TenantConfig(setOf(key), priority)
+                                },
+                            )
+                            val callers =
+                                priorities.keys.map { name ->
+                                    thread { call(mesh.port, "/stock", headers = bearer(name)) }.also {
+                                        if (name == "first") started.await() else Thread.sleep(QUEUED_MILLIS)
+                                    }
+                                }
+                            repeat(priorities.size) { release.send(Unit) }
+                            callers.forEach { it.join() }
+                        }
+                    }
+                order shouldContainExactly listOf("first", "high", "low")
+            }
+        }
+
+        describe("metrics of calls") {
+            it("count the calls of at most 100 tenants by name") {
+                val registry = PrometheusRegistry()
+                val metrics = ProxyMetrics(registry)
+                repeat(150) { metrics.countTenantCall(TenantId("t$it"), 200) }
+                metrics.countTenantCall(TenantId("t7"), 503)
+                val points =
+                    registry
+                        .scrape { it == "baobabhollow_tenant_calls" }
+                        .flatMap { it.dataPoints }
+                        .filterIsInstance<CounterSnapshot.CounterDataPointSnapshot>()
+                        .associate { (it.labels["tenant"] to it.labels["status"]) to it.value }
+                points.size shouldBe 102
+                points["t7" to "2xx"] shouldBe 1.0
+                points["t7" to "5xx"] shouldBe 1.0
+                points["other " to "2xx"] shouldBe 50.0
+            }
+        }
+
         describe("a retried call") {
             // Guards against an attempt at the local target that removes the tenant from the next attempt.
             it("keeps its tenant") {
