Bound the memory of heads with very many short lines

Cause: memory that calls and connections hold was checked where a call begins. What a connection received afterwards was counted and not bounded: an incomplete head or trailer behind a request in progress was read on while memory was full, half a megabyte for each connection. Held response heads and incomplete heads at the other HTTP ports were not counted. Each name listed in `connection` was removed by a search of its own.

Change: fields are counted as they are decoded; a connection with a long head that is incomplete or waits is closed while memory is full, and above an eighth more every connection that sends a head. A head has at most a quarter as many fields as its limit has bytes, which no legal head exceeds. The other HTTP ports hold 2 MB of fields each. Listed names are removed in one pass.

--- a/cli/src/main/kotlin/dev/baobabhollow/cli/demo/DemoFleet.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/demo/DemoFleet.kt
@@ -31,13 +31,17 @@
     val operator: Endpoint get() = settings.addresses.operator
 }
 
-/** Starts a stand-in platform log, targets and nodes as separate processes. Targets take [serviceMillis] per call. */
+/**
+ * Starts a stand-in platform log, targets and nodes as separate processes. Targets take [serviceMillis] per call, and
+ * nodes run with [nodeFlags].
+ */
 internal class DemoFleet(
     private val children: ChildProcesses,
     private val directory: File,
     private val policies: Map<MemberId, MovePolicySettings>,
     private val serviceMillis: Double = 2.0,
     private val faultInjection: Boolean = false,
+    private val nodeFlags: List<String> = ChildProcesses.nodeFlags(),
 ) {
     private val ports = FreePorts()
     private val addresses = HashMap<String, AddressSettings>()
@@ -128,7 +132,7 @@
         val name = settings.node.value
         val file = File(directory, "$name.json")
         file.writeText(ModelJson.encodeToString(settings))
-        return children.start(name, ChildProcesses.nodeFlags(), "node", "--settings", file.path)
+        return children.start(name, nodeFlags, "node", "--settings", file.path)
     }
 
     private fun newAddresses() = AddressSettings(endpoint(), endpoint(), endpoint(), endpoint())
--- a/node/src/main/kotlin/dev/baobabhollow/node/OperatorServer.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/OperatorServer.kt
@@ -1,7 +1,9 @@
 package dev.baobabhollow.node
 
 import dev.baobabhollow.model.Endpoint
+import dev.baobabhollow.proxy.LimitedHeadersFactory
 import dev.baobabhollow.proxy.OpenConnections
+import dev.baobabhollow.proxy.maxHeaderFields
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
@@ -15,9 +17,12 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpObjectDecoder
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpUtil
@@ -46,7 +51,7 @@
  * HTTP server of the operator port at [endpoint], with one thread. [handle] must not block; it returns a future for a
  * response that has to wait. Servers can share one [sharedGroup], which its owner shuts down. Requests with bodies
  * above [maxBodyBytes] are rejected with status 413. Above 32 connections, the one that has been idle for longest
- * is closed.
+ * is closed. While incomplete requests hold more than 2 MB of header fields, the one that holds most is closed.
  */
 class OperatorServer(
     private val endpoint: Endpoint,
@@ -56,6 +61,7 @@
 ) : AutoCloseable {
     private val group = sharedGroup ?: MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val openConnections = OpenConnections<Channel>(MAX_CONNECTIONS) { it.close() }
+    private val heads = HeldHeads<Channel>(MAX_HELD_HEAD_BYTES) { it.close() }
     private var channel: Channel? = null
 
     /** Binds the port. Throws if it is in use. */
@@ -65,7 +71,7 @@
                 override fun initChannel(channel: SocketChannel) {
                     channel.pipeline().addLast(
                         ReadTimeoutHandler(IDLE_SECONDS, TimeUnit.SECONDS),
-                        HttpServerCodec(),
+                        HttpServerCodec(decoderConfig(channel)),
                         HttpObjectAggregator(maxBodyBytes),
                         RequestHandler(),
                     )
@@ -81,6 +87,14 @@
                 .channel()
     }
 
+    private fun decoderConfig(channel: Channel): HttpDecoderConfig {
+        val maxFields = maxHeaderFields(HttpObjectDecoder.DEFAULT_MAX_HEADER_SIZE)
+        val onField = { bytes: Long -> heads.add(channel, bytes) }
+        return HttpDecoderConfig()
+            .setHeadersFactory(LimitedHeadersFactory(DefaultHttpHeadersFactory.headersFactory(), maxFields, onField))
+            .setTrailersFactory(LimitedHeadersFactory(DefaultHttpHeadersFactory.trailersFactory(), maxFields, onField))
+    }
+
     /** Closes the port and all connections. */
     override fun close() {
         channel?.close()?.syncUninterruptibly()
@@ -96,6 +110,7 @@
 
         override fun channelInactive(context: ChannelHandlerContext) {
             openConnections.closed(context.channel())
+            heads.closed(context.channel())
             context.fireChannelInactive()
         }
 
@@ -104,6 +119,7 @@
             request: FullHttpRequest,
         ) {
             openConnections.busy(context.channel())
+            heads.release(context.channel())
             val keepAlive = HttpUtil.isKeepAlive(request)
             val parsed =
                 OperatorRequest(
@@ -150,6 +166,9 @@
 
         /** Operators, the platform and the target use a few; each may hold a body and a response. */
         const val MAX_CONNECTIONS = 32
+
+        /** Room for the longest heads of four connections; a few fields of an ordinary one take 2 KB. */
+        const val MAX_HELD_HEAD_BYTES = 2L * 1_024 * 1_024
         const val IDLE_SECONDS = 120L
         const val CLOSE_MILLIS = 500L
     }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ConnectionPool.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ConnectionPool.kt
@@ -110,8 +110,8 @@
     }
 
     private fun prepare(channel: Channel) {
-        val decoder = StrictResponseDecoder(settings)
-        val meter = ConnectionMeter(memory) { decoder.partialBytes }
+        val decoder = StrictResponseDecoder(settings, memory)
+        val meter = ConnectionMeter(memory) { decoder.undecodedBytes }
         val connection = UpstreamConnection(channel, decoder, meter, settings.maxStrayResponseBytes, ::release)
         channel.pipeline().addLast(
             meter,
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamHandler.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/DownstreamHandler.kt
@@ -14,25 +14,6 @@
 import java.io.IOException
 import java.util.concurrent.TimeUnit
 
-/** Opens the exchanges of a port. */
-internal interface CallPort {
-    val protocol: CallProtocol
-
-    fun open(
-        downstream: DownstreamCall,
-        head: HttpRequest,
-    ): Exchange
-
-    /**
-     * True if the request may be executed before the responses to earlier requests of its connection are complete. If
-     * one of those closes the connection, callers send the later requests again, whether they have been executed or not.
-     */
-    fun mayOverlap(head: HttpRequest): Boolean
-
-    /** True if idle connections may be closed to make room for others. */
-    val mayCloseIdle: Boolean
-}
-
 /** Serves the requests of one downstream connection, and returns the responses in the order of the requests. */
 internal class DownstreamHandler(
     private val node: NodeCore,
@@ -113,7 +94,7 @@
         // Counted from here on, so that draining waits for requests that are not opened yet too.
         node.exchangeStarted(call.headBytes)
         if (isNew) hold()
-        if (waiting.isNotEmpty() || !mayOpen(call)) waiting.addLast(WaitingCall(call, node.memory)) else open(call)
+        if (waiting.isNotEmpty() || !mayOpen(call)) addWaiting(call) else open(call)
         if (head is HttpContent && waiting.isNotEmpty()) {
             receiveWaiting(head)
         } else if (head is HttpContent) {
@@ -121,6 +102,16 @@
         }
     }
 
+    /** While memory is full, a connection is closed rather than that a long head waits behind another request. */
+    private fun addWaiting(call: DownstreamCall) {
+        waiting.addLast(WaitingCall(call, node.memory))
+        if (calls.isNotEmpty() && node.memory.isFull && call.headBytes > ORDINARY_HEAD_BYTES) {
+            closeForMemory()
+        } else if (!hasRoom()) {
+            updateReading()
+        }
+    }
+
     /**
      * Holds the first request of a connection until the event loop has read all connections once more. The connection
      * may have waited for long to be accepted, and the caller may have disconnected meanwhile; the close is read one
@@ -167,10 +158,17 @@
     override fun channelReadComplete(ctx: ChannelHandlerContext) {
         flushRequests()
         updateReading()
-        val isUnread = calls.isEmpty() && waiting.isEmpty() && decoder.partialBytes > 0
-        if (isUnread && node.memory.isFull) context.close()
+        if (node.memory.isFull && decoder.partialBytes > unreadLimit()) closeForMemory()
     }
 
+    private fun closeForMemory() {
+        node.logMemoryClose()
+        context.close()
+    }
+
+    /** Returns the bytes of an incomplete head that may be kept while memory is full. */
+    private fun unreadLimit() = if (calls.isEmpty() && waiting.isEmpty()) 0L else ORDINARY_HEAD_BYTES
+
     private fun flushRequests() {
         when (calls.size) {
             0 -> Unit
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryPort.kt
@@ -18,6 +18,7 @@
 ) : CallPort {
     override val protocol: CallProtocol get() = node.settings.protocol
     override val mayCloseIdle get() = true
+    override val addedHeaderBytes get() = 0
 
     override fun mayOverlap(head: HttpRequest): Boolean {
         if (requestError(head) != null || isKeyRequest(head)) return false
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/Headers.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/Headers.kt
@@ -76,14 +76,30 @@
         HttpHeaderNames.UPGRADE,
     )
 
-/** Removes hop-by-hop headers, including those listed in `connection`. */
+/**
+ * Removes hop-by-hop headers, including those listed in `connection`. Looks at each field once: each removal by name
+ * searches the fields, and a head can list thousands of names.
+ */
 internal fun HttpHeaders.removeHopByHop() {
-    if (contains(HttpHeaderNames.CONNECTION)) {
-        getAll(HttpHeaderNames.CONNECTION)
-            .flatMap { it.split(',') }
-            .map { it.trim() }
-            .filter { it.isNotEmpty() && !it.equals("content-length", true) && !it.equals("transfer-encoding", true) }
-            .forEach { remove(it) }
-    }
+    val listed = if (contains(HttpHeaderNames.CONNECTION)) listedNames() else emptySet()
     HOP_BY_HOP.forEach { remove(it) }
+    if (listed.isNotEmpty()) removeAll(listed)
 }
+
+private fun HttpHeaders.removeAll(names: Set<AsciiString>) {
+    val kept = ArrayList<Map.Entry<CharSequence, CharSequence>>(size())
+    for (field in iteratorCharSequence()) if (AsciiString.of(field.key).toLowerCase() !in names) kept += field
+    if (kept.size == size()) return
+    clear()
+    kept.forEach { add(it.key, it.value) }
+}
+
+/** Returns the names listed in `connection` in lower case, without those that describe the length of the message. */
+private fun HttpHeaders.listedNames(): Set<AsciiString> =
+    getAll(HttpHeaderNames.CONNECTION)
+        .flatMapTo(HashSet()) { list -> list.split(',').map { AsciiString(it.trim()).toLowerCase() } }
+        .apply {
+            removeAll(
+                setOf(AsciiString.EMPTY_STRING, HttpHeaderNames.CONTENT_LENGTH, HttpHeaderNames.TRANSFER_ENCODING),
+            )
+        }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/HeldMemory.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/HeldMemory.kt
@@ -20,6 +20,9 @@
     /** True once nothing more may be held. */
     val isFull: Boolean get() = bytes >= limitBytes
 
+    /** True once so much is held beyond the limit that connections are closed instead of being read. */
+    val isExhausted: Boolean get() = bytes >= limitBytes + limitBytes / EXCESS_DIVISOR
+
     /** True if [copyBytes] of a body may be kept for a retry. */
     fun allowsCopy(copyBytes: Int): Boolean =
         if (copyBytes <= SMALL_COPY_BYTES) !isScarce else bytes < limitBytes / COPIES_DIVISOR
@@ -46,6 +49,9 @@
 
         /** A quarter is reserved for calls without a body and for what the accepted calls still receive. */
         const val RESERVE_DIVISOR = 4
+
+        /** An eighth beyond the limit is for what has been read when the limit is reached. */
+        const val EXCESS_DIVISOR = 8
     }
 }
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/OwnerExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/OwnerExchange.kt
@@ -50,6 +50,8 @@
     /** An entry node cannot tell whether a request that was on its way at the close has been executed. */
     override val mayCloseIdle get() = false
 
+    override val addedHeaderBytes get() = MESH_HEADER_BYTES
+
     override fun open(
         downstream: DownstreamCall,
         head: HttpRequest,
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
@@ -151,8 +151,13 @@
     ) {
         connections.add(channel)
         val encoder = CallerResponseEncoder()
-        val decoder = StrictRequestDecoder(node.settings)
-        val meter = ConnectionMeter(node.memory) { decoder.partialBytes }
+        val decoder =
+            StrictRequestDecoder(
+                node.settings,
+                node.memory,
+                node.settings.maxHeaderBytes + port.addedHeaderBytes,
+            )
+        val meter = ConnectionMeter(node.memory) { decoder.undecodedBytes }
         val idle = IdleStateHandler(node.settings.callerIdleMillis, 0, 0, TimeUnit.MILLISECONDS)
         channel.pipeline().addLast(
             meter,
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/WaitingCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/WaitingCall.kt
@@ -13,7 +13,7 @@
     /** Part that the decoder could not parse, which ends the body. */
     private var malformed: HttpContent? = null
 
-    val bytes: Long get() = HEAD_BYTES + body.bytes
+    val bytes: Long get() = HEAD_BYTES + (call.headBytes - ORDINARY_HEAD_BYTES).coerceAtLeast(0) + body.bytes
 
     /** Receives a part of the body and takes ownership of its buffer. */
     fun receive(content: HttpContent) {
@@ -46,7 +46,7 @@
     }
 
     private companion object {
-        /** Assumed size of the head of a waiting request. */
+        /** Assumed size of the head of a waiting request, unless it is longer than an ordinary one. */
         const val HEAD_BYTES = 1_024L
     }
 }
