--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
@@ -119,8 +119,7 @@
     }
 
     /** Logs that a connection is closed because its head is long or incomplete while memory is full. */
-    fun logMemoryClose() =
-        callLog.write { "event=connection_closed reason=memory-limit held_bytes=${memory.bytes}" }
+    fun logMemoryClose() = callLog.write { "event=connection_closed reason=memory-limit held_bytes=${memory.bytes}" }
 
     /** True if a response may be held back until those to earlier requests of its connection are complete. */
     fun allowsBufferedResponse(): Boolean = memory.allowsCall(settings.maxBufferedResponseBytes)
