Take a close before the end of the request for a broken connection

Cause: a response without a length was complete at any end of the stream. A target that closes without reading the rest of an upload sends FIN before the reset, so that a part of a response reached the caller as a complete one.

Change: such a response is complete only if the connection has taken the whole request before the close. Otherwise the outcome is unknown. A failed write of the end of a request closes the connection, as that of its head does.

Measured: EarlyAnswerSpec "when the target closes the connection without reading the rest" got a complete 200 with the body `part` on and passes now; its other seven cases passed there, too, among them 48 uploads whose connection is reset at once. It passes with ResponseIntegritySpec, CallProtocolSpec and EndlessResponseSpec.

--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamCall.kt
@@ -21,6 +21,7 @@
     private val pending = PendingBody(pool.memory)
     private var isStarted = false
     private var headWrite: ChannelFuture? = null
+    private var lastWrite: ChannelFuture? = null
     private var discardedBytes = 0L
     private var isEchoExpected = false
 
@@ -31,6 +32,9 @@
     var isRequestDone = false
         private set
 
+    /** True once the connection has taken the whole request. */
+    val isRequestWritten: Boolean get() = lastWrite?.isSuccess == true
+
     /** Reads the state of the write itself, because its listeners may be notified later. */
     override val mayHaveRun: Boolean get() = headWrite?.isSuccess == true
 
@@ -127,8 +131,14 @@
             content.release()
             return
         }
-        if (content is LastHttpContent) isRequestDone = true
-        channel.write(content, channel.voidPromise())
+        if (content !is LastHttpContent) {
+            channel.write(content, channel.voidPromise())
+            return
+        }
+        isRequestDone = true
+        val write = channel.write(content)
+        lastWrite = write
+        write.addListener { if (!it.isSuccess) channel.close() }
     }
 
     override fun flush() {
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamConnection.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamConnection.kt
@@ -38,6 +38,9 @@
     private var isKeptAlive = true
     private var isResponseDone = false
 
+    /** True while the end of the response is marked by the close of the connection only. */
+    private var isCloseDelimited = false
+
     /** True while the response to another call is skipped. */
     private var isMismatched = false
 
@@ -66,6 +69,7 @@
         isInformational = false
         isKeptAlive = true
         isResponseDone = false
+        isCloseDelimited = false
         isMismatched = false
         strayBytes = 0
     }
@@ -111,9 +115,10 @@
         if (!current.accepts(head)) return onMismatchedHead(current)
         if (!current.isResponseGenuine) return failMalformed(current)
         // A close-delimited body cannot be told from a truncated one, so it is accepted only if the protocol allows it.
-        if (!hasLength(head) && !current.allowsCloseDelimitedResponses) return failMalformed(current)
+        isCloseDelimited = !hasLength(head)
+        if (isCloseDelimited && !current.allowsCloseDelimitedResponses) return failMalformed(current)
         isHeadSeen = true
-        isKeptAlive = isKeptAlive && hasLength(head) && HttpUtil.isKeepAlive(head)
+        isKeptAlive = isKeptAlive && !isCloseDelimited && HttpUtil.isKeepAlive(head)
         idleLimitMillis = keepAliveMillis(head)
         current.onHead(head)
     }
@@ -136,6 +141,10 @@
         return seconds * MILLIS_PER_SECOND
     }
 
+    /**
+     * A close that precedes the end of the request is not taken for the end of a response without a length: it may be
+     * the first sign of a reset, which can also show as a failed write, and then the response is truncated.
+     */
     private fun onContent(
         current: UpstreamCall,
         content: HttpContent,
@@ -153,6 +162,11 @@
             failMalformed(current)
             return
         }
+        if (content is LastHttpContent && isCloseDelimited && !current.isRequestWritten) {
+            content.release()
+            current.fail(FailureReason.CONNECTION_CLOSED)
+            return
+        }
         isResponseDone = content is LastHttpContent
         current.onBody(content)
     }
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/ScriptedTarget.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/ScriptedTarget.kt
@@ -13,6 +13,12 @@
 private val LOOPBACK: InetAddress = InetAddress.getByName("127.0.0.1")
 private const val WAIT_SECONDS = 20L
 
+/** Protocol of targets that may mark the end of a response by closing the connection. */
+internal val CLOSE_DELIMITED =
+    object : CallProtocol by MeshProtocol {
+        override val allowsCloseDelimitedResponses = true
+    }
+
 /** Start line, headers and body of an HTTP message. */
 internal data class Message(
     val startLine: String,
