Reject statuses that are not three digits from 100 to 599

Cause: the decoder reads a status as a number with a sign and any count of digits and passes on any that is not negative, so that a caller got the status 000.

Change: the response decoder of both hops takes three ASCII digits from 100 to 599. Any other is a malformed response, 502 with unknown outcome.

Measured: ResponseStatusSpec, then part of EarlyAnswerSpec, on: 10 of 15 cases failed (000, 099, 600, 999, 0200, 00200, +200, 20, 2, "2 00" reached the caller); -200, 20x, other digits and both cases of informational statuses passed. All 15 pass now.

--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/Codecs.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/Codecs.kt
@@ -98,6 +98,16 @@
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         method == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
+
+    /** Rejects what the decoder would read as some other number, or would pass on although it is not a status. */
+    override fun createMessage(initialLine: Array<String>): HttpMessage {
+        require(STATUS.matches(initialLine[1])) { "invalid status: ${initialLine[1]}" }
+        return super.createMessage(initialLine)
+    }
+
+    private companion object {
+        val STATUS = Regex("[1-5][0-9]{2}")
+    }
 }
 
 /**
