Order the maps of states of later eras, and pull no known state again

Replicas that learned of orders in different sequences had equal states with different hashes, and would have pulled from each other for ever. A state of a peer that held nothing new is not pulled again.

--- a/configuration/src/main/kotlin/dev/baobabhollow/configuration/Fold.kt
+++ b/configuration/src/main/kotlin/dev/baobabhollow/configuration/Fold.kt
@@ -85,12 +85,8 @@
     record: MoveOrderRecord,
 ): ConfigurationState {
     val move = orderedMoveId(record.service, LogPosition(state.era, entry.offset))
-    val order = MoveOrder(move, record.release, record.durationMillis)
-    return state.copy(
-        offset = entry.offset,
-        orders =
-            state.orders + (record.service to state.newerOrder(record.service, order)),
-    )
+    val order = state.newerOrder(record.service, MoveOrder(move, record.release, record.durationMillis))
+    return state.copy(offset = entry.offset, orders = state.orders + (record.service to order)).inOrder()
 }
 
 private fun isDuplicate(
--- a/configuration/src/main/kotlin/dev/baobabhollow/configuration/StoreEra.kt
+++ b/configuration/src/main/kotlin/dev/baobabhollow/configuration/StoreEra.kt
@@ -56,7 +56,18 @@
         }
     val starts = eraStarts + (batch.era to batch.endOffset)
     val ownStarts = starts.withLower(era + 1, lowestNewOrder(orders, replaced))
-    return copy(era = batch.era, eraStarts = ownStarts, offset = NO_OFFSET, snapshotOffset = NO_OFFSET)
+    return copy(era = batch.era, eraStarts = ownStarts, offset = NO_OFFSET, snapshotOffset = NO_OFFSET).inOrder()
+}
+
+/**
+ * Returns this state with its maps in the order of their keys. In later eras, replicas learn of the entries in different
+ * orders, and the content hash depends on the order.
+ */
+internal fun ConfigurationState.inOrder(): ConfigurationState {
+    if (era == 0L) return this
+    val sortedOrders = orders.entries.sortedBy { it.key.value }.associate { it.toPair() }
+    val sortedStarts = eraStarts.entries.sortedBy { it.key }.associate { it.toPair() }
+    return copy(orders = sortedOrders, eraStarts = sortedStarts)
 }
 
 /**
@@ -80,7 +91,7 @@
     }
     val base = copy(eraStarts = starts)
     val services = held.orders.filter { (service, order) -> base.newerOrder(service, order) == order }
-    val merged = base.copy(orders = base.orders + services)
+    val merged = base.copy(orders = base.orders + services).inOrder()
     return if (merged.keepsMeshOf(held, meshHash)) merged.copy(version = held.version, mesh = held.mesh) else merged
 }
 
--- a/configuration/src/test/kotlin/dev/baobabhollow/configuration/StoreEraSpec.kt
+++ b/configuration/src/test/kotlin/dev/baobabhollow/configuration/StoreEraSpec.kt
@@ -131,6 +131,18 @@
             }
         }
 
+        // Guards against replicas that pull from each other for ever, since equal states have different hashes.
+        it("has one hash, whatever the order in which replicas learn of orders and eras") {
+            val other = { release: String -> order(release).copy(service = ServiceId("a")) }
+            val first = replicaOf(wholeLog(0, order("v1"), other("v1")), wholeLog(1), wholeLog(2))
+            val second = replicaOf(wholeLog(0, other("v1")), wholeLog(2, order("v2"), other("v1")))
+            val third = replicaOf(wholeLog(1, other("v1"), order("v2")), wholeLog(2, order("v2"), other("v1")))
+            val all = listOf(first, second, third)
+            repeat(2) { all.forEach { to -> all.forEach { from -> to.offer(from.transfer()) } } }
+            all.map { it.state }.toSet().size shouldBe 1
+            all.map { it.contentHash }.toSet().size shouldBe 1
+        }
+
         describe("an order of a log that returned from an older copy") {
             // Guards against two different orders with one identifier, of which the second one is never carried out.
             it("starts a different move if it is written at a reused offset") {
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/Dissemination.kt
@@ -43,6 +43,9 @@
     private var needsFullState = false
     private var nextPullAtMillis = 0L
 
+    /** Hash of the last state from a peer that held nothing new, so that it isn't pulled again. */
+    private var subsumedHash: String? = null
+
     /** Offset of the last logged divergence. Peers repeat their position in each datagram, but it is logged once. */
     private var reportedOffset = Long.MIN_VALUE
 
@@ -72,6 +75,7 @@
         }
         // In a later era, states at one position may differ in what they retain of earlier ones, and are merged.
         if (peerPosition.logPosition < position.logPosition || !peerPosition.isConfirmed) return
+        if (isSamePlace && peerPosition.contentHash == subsumedHash) return
         if (aheadPeer == null && !isPulling) {
             nextPullAtMillis = maxOf(nextPullAtMillis, nowMillis + random.nextLong(settings.pullJitterMillis + 1))
             LOG.info(
@@ -128,8 +132,8 @@
         val body = response.fold({ it.body }) { return handleFailedPull(it, nowMillis) }
         LOG.info("event=pull_answered answer={} millis={}", body::class.simpleName, nowMillis - pullStartedMillis)
         when (body) {
-            is Push -> applyPulled { if (!apply(body.batch, view, Origin.PEER)) retryPull(body.batch) }
-            is WholeState -> applyPulled { apply(body.transfer, Origin.PEER) }
+            is Push -> applyPulled { if (!apply(body.batch, view, StateOrigin.PEER)) retryPull(body.batch) }
+            is WholeState -> applyPulled { apply(body.transfer, StateOrigin.PEER) }
             is NothingNew -> handleNothingNew(body, nowMillis)
             is Refused -> waitAfterRefusal(body, nowMillis)
             else -> handleFailedPull("unexpected answer ${body::class.simpleName}", nowMillis)
@@ -197,13 +201,13 @@
         val isNewEra = batch.era > position.era
         val endOffset = if (isNewEra) batch.nextOffset else 0
         if (entries.isNotEmpty() || isNewEra) {
-            apply(RecordBatch(afterOffset, entries, batch.era, endOffset), view, Origin.LOG)
+            apply(RecordBatch(afterOffset, entries, batch.era, endOffset), view, StateOrigin.LOG)
         }
         if (batch.era == position.era && position.offset + 1 >= batch.nextOffset) confirm()
     }
 
     fun applyLogState(state: ConfigurationState) {
-        if (state.logPosition > position.logPosition) apply(StateTransfer(state, contentHash(state)), Origin.LOG)
+        if (state.logPosition > position.logPosition) apply(StateTransfer(state, contentHash(state)), StateOrigin.LOG)
         confirm()
     }
 
@@ -211,7 +215,7 @@
     private fun apply(
         batch: RecordBatch,
         view: FleetView,
-        origin: Origin,
+        origin: StateOrigin,
     ): Boolean {
         val before = position.logPosition
         val result = replica.offer(batch)
@@ -227,13 +231,13 @@
         batch.entries.filter { it.offset > newAfter }.forEach(::reportUnreadable)
         // Taken from the replica, which holds full configurations: a change in the batch applies to one version only.
         val newRecords = replica.recordsAfter(newAfter)
-        if (newRecords != null && position.isConfirmed) push(newRecords, view, isLogReader = origin == Origin.LOG)
+        if (newRecords != null && position.isConfirmed) push(newRecords, view, isLogReader = origin == StateOrigin.LOG)
         return true
     }
 
     private fun apply(
         transfer: StateTransfer,
-        origin: Origin,
+        origin: StateOrigin,
     ) {
         when (val result = replica.offer(transfer)) {
             is OfferResult.Applied -> {
@@ -246,12 +250,12 @@
             }
 
             else -> {
-                Unit
+                subsumedHash = transfer.contentHash
             }
         }
     }
 
-    private fun updatePosition(origin: Origin) {
+    private fun updatePosition(origin: StateOrigin) {
         val before = position
         position = Position(state.offset, state.version, replica.contentHash, before.isConfirmed, state.era)
         if (state.era > before.era && before.isConfirmed) reportEra(before, origin)
@@ -294,7 +298,7 @@
         push: Push,
         view: FleetView,
     ): FrameBody {
-        apply(push.batch, view, Origin.PEER)
+        apply(push.batch, view, StateOrigin.PEER)
         return NothingNew(position)
     }
 
@@ -315,7 +319,7 @@
 
     private fun reportEra(
         before: Position,
-        origin: Origin,
+        origin: StateOrigin,
     ) {
         metrics.countEraChange()
         LOG.warn(
@@ -336,14 +340,6 @@
         LOG.error("state differs from that of the node at {} at the same offset {}", endpoint, position.offset)
     }
 
-    /** Source of a configuration. */
-    private enum class Origin(
-        val text: String,
-    ) {
-        LOG("log"),
-        PEER("peer"),
-    }
-
     private companion object {
         val LOG = LogManager.getLogger(Dissemination::class.java)
     }
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/LogReader.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/LogReader.kt
@@ -85,7 +85,7 @@
         readAfter(after, pollMillis).fold(
             success = {
                 when {
-                    it.era > known.era && after != NO_OFFSET -> readNewEra(it.era)
+                    it.era > known.era && (known.era > 0 || after != NO_OFFSET) -> readNewEra(it.era)
                     it.era < known.era -> pauseMillis(settings.minBackoffMillis)
                     it.earliestOffset > after + 1 -> recover(it.earliestOffset)
                     else -> accept(after, it)
