Follow the fleet before the first limit, and grant nothing without a configuration

A first limit in a running system would have refused its tenants for seconds, because allocators began to follow the fleet only then and nodes without the version answered that they are not allocators. A node without a confirmed configuration knows no limits and must not be taken for one without limits.

--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -266,7 +266,7 @@
         table.set(next)
         versionTimes.record(state.version, nowMillis())
         verdicts.update(state)
-        quotas?.update(state.mesh.tenants, view)
+        quotas?.update(state.version, state.mesh.tenants, view)
         proxy?.forgetAbsent(next)
         // An announced target is known here before the view contains it, and the view must not restore the previous
         // target.
--- a/node/src/main/kotlin/dev/baobabhollow/node/NodeQuotas.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/NodeQuotas.kt
@@ -26,8 +26,8 @@
 import java.util.concurrent.atomic.AtomicLong
 
 /**
- * Quotas at one node: allocates tokens for other nodes, and takes tokens for the requests of its own callers. Does
- * nothing while no tenant of the configuration has a limit.
+ * Quotas at one node: allocates tokens for other nodes, and takes tokens for the requests of its own callers. While
+ * no tenant of the configuration has a limit, it only follows the view, so that a first limit can be enforced at once.
  *
  * [send] sends a datagram to a control endpoint, [schedule] runs a task once after some milliseconds, and [isDropped]
  * is true for failure domains that fault injection cuts off. Thread-safe.
@@ -52,15 +52,15 @@
     private val isScheduled = AtomicBoolean()
     private val sentQuestions = AtomicLong()
 
-    @Volatile
-    private var tracker: QuotaFleetTracker? = null
+    private val tracker = QuotaFleetTracker(settings, self.node, self.failureDomain, nowMillis())
 
     @Volatile
     private var limits = Limits(emptyMap(), emptyMap(), emptyMap())
 
     @Volatile
     private var nodesByEndpoint: Map<Endpoint, NodeRecord> = emptyMap()
-    private var fleet: QuotaFleet? = null
+    private var fleet: QuotaFleet = tracker.fleet
+    private var appliedFleet: QuotaFleet? = null
     private var viewRevision: Long? = null
 
     /** Decisions on requests of this node's callers. */
@@ -72,20 +72,23 @@
     /** Number of tenants for which this node has allocated tokens. */
     val allocatedTenants: Int get() = allocator.size
 
-    /** Applies a configuration and a view of the fleet. Call it on one thread at a time. */
+    /**
+     * Applies the tenants of the configuration [version], which is 0 until one is confirmed, and a view of the fleet. Call
+     * it on one thread at a time.
+     */
     fun update(
+        version: Long,
         tenants: Map<TenantId, TenantConfig>,
         view: FleetView,
     ) {
         if (tenants !== limits.tenants) applyLimits(tenants)
-        if (limits.keys.isEmpty()) return
-        // Most changes are those of the configuration, and going through all nodes is not free.
-        if (view.revision == viewRevision) return
-        viewRevision = view.revision
-        val now = nowMillis()
-        val current = tracker ?: QuotaFleetTracker(settings, self.node, self.failureDomain, now).also { tracker = it }
-        val next = current.update(view, now)
-        if (next !== fleet) applyFleet(next)
+        // Going through all nodes is not free, and most changes are those of the configuration.
+        if (view.revision != viewRevision) {
+            viewRevision = view.revision
+            fleet = tracker.update(view, nowMillis())
+        }
+        // Until then this node does not know the limits, and would grant everything.
+        if (version > 0 && fleet !== appliedFleet) applyFleet(fleet)
     }
 
     private fun applyLimits(tenants: Map<TenantId, TenantConfig>) {
@@ -101,8 +104,8 @@
 
     private fun applyFleet(next: QuotaFleet) {
         val now = nowMillis()
-        val before = fleet
-        fleet = next
+        val before = appliedFleet
+        appliedFleet = next
         nodesByEndpoint =
             next.live.values
                 .flatMap { it.values }
@@ -164,7 +167,7 @@
             return stock.answer(question.id, self.node, answer, nowMillis())
         }
         scheduleAdvance()
-        val node = tracker?.fleet?.nodeOf(question.to) ?: return
+        val node = tracker.fleet.nodeOf(question.to) ?: return
         if (isDropped(node.failureDomain)) return
         sentQuestions.incrementAndGet()
         send(node.controlEndpoint, QuotaMessage.Question(question.id, question.key.bits, question.wanted))
--- a/node/src/test/kotlin/dev/baobabhollow/node/NodeQuotasSpec.kt
+++ b/node/src/test/kotlin/dev/baobabhollow/node/NodeQuotasSpec.kt
@@ -63,6 +63,29 @@
                 (fleet.request(0) is QuotaDecision.Granted) shouldBe true
             }
 
+            // Callers would be refused for seconds while the version spreads.
+            it("admit requests while some nodes do not have the limit yet, and enforce a first limit at once") {
+                val fleet = Fleet(3).apply { update(emptyMap()) }
+                fleet.nowMillis = 10_000
+                fleet.update(LIMITED, version = 2, at = fleet.quotas.values.take(1))
+                repeat(9) { (fleet.request(0) is QuotaDecision.Granted) shouldBe true }
+                fleet.update(LIMITED, version = 2)
+                val admitted = (1..100).count { fleet.request(it % 3) is QuotaDecision.Granted }
+                admitted shouldBeInRange 1..16
+            }
+
+            // A node that has just restarted knows no limits and would grant everything.
+            it("get no tokens from a node without a confirmed configuration") {
+                val fleet = Fleet(3)
+                fleet.update(emptyMap(), version = 0)
+                fleet.nowMillis = 10_000
+                fleet.update(LIMITED, version = 2, at = fleet.quotas.values.take(1))
+                val decision = fleet.request(0)
+                val others = fleet.quotas.values.drop(1)
+                others.sumOf { it.allocatedTenants } shouldBe 0
+                if (fleet.sent.isNotEmpty()) (decision is QuotaDecision.Unavailable) shouldBe true
+            }
+
             it("stop asking when the limit is removed") {
                 val fleet = Fleet(2).apply { update(LIMITED) }
                 fleet.quotas.values.forEach { it.keyOf(ANA).shouldNotBeNull() }
@@ -113,11 +136,13 @@
         private val records = List(size) { record("n$it", 7_000 + it) }
         val quotas: Map<Endpoint, NodeQuotas> = records.associate { it.controlEndpoint to quotas(it) }
 
-        fun update(tenants: Map<TenantId, TenantConfig>) {
+        fun update(
+            tenants: Map<TenantId, TenantConfig>,
+            version: Long = 1,
+            at: Collection<NodeQuotas> = quotas.values,
+        ) {
             val nodes = records.associateBy { it.node }
-            records.forEach { record ->
-                quotas.getValue(record.controlEndpoint).update(tenants, FleetView(record.node, nodes, 1))
-            }
+            at.forEach { it.update(version, tenants, FleetView(records.first().node, nodes, 1)) }
         }
 
         fun counted(result: String): Int {
