--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/QuotaExchangeSpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/QuotaExchangeSpec.kt
@@ -153,7 +153,7 @@
                     val response = call(mesh.port, "/stock", headers = bearer("ana"))
                     response?.status shouldBe 504
                     response?.outcome shouldBe "not-run"
-                    mesh.entry.inFlight shouldBe 0
+                    awaitUntil("the call has ended") { mesh.entry.inFlight == 0 }
                     quotas.waiting.await()(QuotaDecision.Granted(TOKEN))
                     quotas.returned.await() shouldBe TOKEN
                     seen.shouldBeEmpty()
@@ -166,7 +166,7 @@
                     val response = inBackground { call(mesh.port, "/stock", headers = bearer("ana")) }
                     quotas.waiting.await()(QuotaDecision.Denied(40))
                     response.result()?.status shouldBe 429
-                    mesh.entry.inFlight shouldBe 0
+                    awaitUntil("the call has ended") { mesh.entry.inFlight == 0 }
                 }
             }
         }
