Limit the requests to cold targets at their owners

Targets crash if they get more requests than they can handle while they are cold, and may become cold at any moment. ColdTargetLimiter, a token bucket ahead of the slots of Admission, is in force at all times; only a health probe that finds the target warm lifts it, for the requests sent before the probe. Owners probe only under more load than a cold target may get. TargetRecord.coldPerSecond tells entry nodes, which call cold targets last.

--- a/calls/src/main/kotlin/dev/baobabhollow/calls/Admission.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/Admission.kt
@@ -20,6 +20,9 @@
 
     /** The owner node accepts no new calls for the target. */
     DRAINING,
+
+    /** The target is cold and gets as many calls as it can handle. */
+    COLD_TARGET,
 }
 
 /**
@@ -60,6 +63,7 @@
 class Admission(
     private val settings: AdmissionSettings,
     slots: Int,
+    private val coldLimiter: ColdTargetLimiter? = null,
 ) {
     private val queue = FairQueue()
 
@@ -145,6 +149,34 @@
         decisions.announce()
     }
 
+    /**
+     * Grants slots to waiting calls after the limit for a cold target may have changed, and refuses those that would now
+     * wait too long.
+     */
+    fun reconsider(
+        nowMicros: Long,
+        nowMillis: Long,
+    ) {
+        val decisions = Decisions()
+        synchronized(this) {
+            while (queue.size > 0 && coldLimiter?.refuses(queue.size + lateQueue.size - 1, nowMillis) == true) {
+                refuse(queue.evict(), Refusal.COLD_TARGET, decisions)
+            }
+            grant(nowMicros, nowMillis, decisions)
+        }
+        decisions.announce()
+    }
+
+    /** Takes a free slot for a health probe, and returns false if there is none. */
+    @Synchronized
+    fun tryHold(): Boolean = (!isDraining && slotsInUse < slots).also { if (it) slotsInUse++ }
+
+    /** Frees a slot of [tryHold]. */
+    @Synchronized
+    fun releaseHold() {
+        slotsInUse--
+    }
+
     /** Refuses all waiting calls and, until [resume], all new ones. */
     fun drain() {
         val decisions = Decisions()
@@ -170,6 +202,7 @@
     ): Refusal? {
         if (isDraining) return Refusal.DRAINING
         if (nowMillis >= request.deadlineMillis) return Refusal.DEADLINE_PASSED
+        if (coldLimiter?.refuses(queue.size + lateQueue.size, nowMillis) == true) return Refusal.COLD_TARGET
         if (slotsInUse + queue.size < slots) return null
         // The service time counts as well, since a response after the deadline is useless. A call that finds a free
         // slot always runs: otherwise, after a slow period, all calls could be refused and no new service time be
@@ -231,11 +264,13 @@
         val uploadSlots = (slots * settings.uploadSlotsPermille / FULL_PERMILLE).coerceAtLeast(1)
         while (slotsInUse < slots) {
             val isAllowed = uploadsInUse < uploadSlots
+            if (coldLimiter?.allows(nowMillis) == false) return
             val ticket = queue.poll(isAllowed) ?: lateQueue.poll(isAllowed) ?: return
             if (nowMillis >= ticket.request.deadlineMillis) {
                 refuse(ticket, Refusal.DEADLINE_PASSED, decisions)
                 continue
             }
+            coldLimiter?.take(nowMillis)
             rankShares.record(ticket.request.rank)
             slotsInUse++
             if (ticket.request.callClass == CallClass.UPLOAD) uploadsInUse++
@@ -306,28 +341,3 @@
         const val LATE_WAIT_DIVISOR = 16
     }
 }
-
-/** Decisions made under the lock of [Admission], whose callbacks are called after its release. */
-private class Decisions {
-    private var tickets: ArrayList<Pair<Ticket, Refusal?>>? = null
-    private var single: Ticket? = null
-    private var singleRefusal: Refusal? = null
-
-    fun add(
-        ticket: Ticket,
-        refusal: Refusal?,
-    ) {
-        if (single == null) {
-            single = ticket
-            singleRefusal = refusal
-            return
-        }
-        val list = tickets ?: ArrayList<Pair<Ticket, Refusal?>>().also { tickets = it }
-        list += ticket to refusal
-    }
-
-    fun announce() {
-        single?.onDecision?.invoke(singleRefusal)
-        tickets?.forEach { (ticket, refusal) -> ticket.onDecision(refusal) }
-    }
-}
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/CallSettings.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/CallSettings.kt
@@ -69,6 +69,15 @@
     val sharedSavedRetries: Double? = null,
 )
 
+/**
+ * Bound of the requests that a cold target gets in any second: the rate that it can handle times [overShare], and
+ * [slack] requests.
+ */
+data class ColdTargetSettings(
+    val overShare: Double,
+    val slack: Double,
+)
+
 /** Settings for admission on the owner node of a target. */
 data class AdmissionSettings(
     /** Maximum length of the queue in permille of the slots. */
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
@@ -149,6 +149,7 @@
                     target.release,
                     target.slots,
                     isSuspect = record.status == NodeStatus.SUSPECT,
+                    isCold = target.coldPerSecond != null,
                 )
             }
 
@@ -296,4 +297,6 @@
     val slots: Int,
     /** True while membership suspects the node of having failed, since it does not respond to probes. */
     val isSuspect: Boolean = false,
+    /** True while the target is cold, so that its owner admits few calls. */
+    val isCold: Boolean = false,
 )
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/TargetPicker.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/TargetPicker.kt
@@ -80,13 +80,22 @@
         }
     }
 
+    /** Records that [target] has refused a call because it is cold, and has no capacity before [untilMillis]. */
+    fun refusedCold(
+        target: TargetEndpoint,
+        untilMillis: Long,
+        nowMillis: Long,
+    ) {
+        stats.of(target, nowMillis).coldUntilMillis = untilMillis
+    }
+
     /** Removes the statistics of all targets except those of [nodes]. */
     fun retain(nodes: Set<NodeId>) = stats.retain(nodes)
 
     /**
      * Returns the target with the shortest expected response time among a random sample. Sampling keeps entry nodes
      * with the same information from all selecting the same target. Suspected, ejected and silent targets are used only
-     * if there are no others.
+     * if there are no others, and cold ones only if there are no warm ones.
      */
     private fun shortestWait(
         targets: ReleaseTargets,
@@ -98,7 +107,7 @@
         val untried = targets.all.filter { it.node !in tried }
         val usable =
             untried.filter { !it.isSuspect && outliers.isUsable(it.node, nowMillis) && !isSilent(it, nowMillis) }
-        val candidates = usable.ifEmpty { untried }
+        val candidates = usable.filterNot { isCold(it, nowMillis) }.ifEmpty { usable }.ifEmpty { untried }
         val compared =
             sample(candidates.filter(targets::isLocal), LOCAL_SAMPLE, random)
                 .plus(sample(candidates, GLOBAL_SAMPLE, random))
@@ -110,6 +119,11 @@
         return chosen?.let { withProbeClaimed(it, nowMillis) }
     }
 
+    private fun isCold(
+        target: TargetEndpoint,
+        nowMillis: Long,
+    ) = target.isCold || nowMillis < stats.of(target, nowMillis).coldUntilMillis
+
     private fun remotePenaltyMicros(profile: CallProfile): Long {
         val objectiveShareMicros =
             profile.objectiveMillis * MICROS_PER_MILLI * settings.remotePenaltyObjectivePermille / PERMILLE
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/TargetStats.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/TargetStats.kt
@@ -16,6 +16,10 @@
 ) {
     val inFlight = AtomicInteger()
 
+    /** Time until which the target has no capacity because it is cold, as its owner stated with a refusal. */
+    @Volatile
+    var coldUntilMillis = Long.MIN_VALUE
+
     /** Time of the last response or, if no call was in flight after it, of the first call since. */
     @Volatile
     private var waitingSinceMillis = firstSeenMillis
--- a/calls/src/test/kotlin/dev/baobabhollow/calls/TargetPickerShortestWaitSpec.kt
+++ b/calls/src/test/kotlin/dev/baobabhollow/calls/TargetPickerShortestWaitSpec.kt
@@ -124,6 +124,28 @@
             }
         }
 
+        describe("a target that is cold") {
+            // Guards against calls that collect refusals at cold targets while warm ones are free.
+            it("gets calls only while there is no warm one") {
+                val fixture = Fixture()
+                val some = ReleaseTargets(OLD, listOf(local.copy(isCold = true)), remote)
+                val picks = List(1_000) { fixture.picker.pick(some, emptySet(), 1_000, fixture.random)?.node }
+                picks.count { it == local.node } shouldBe 0
+                val tried = remote.mapTo(HashSet()) { it.node }
+                fixture.picker.pick(some, tried, 1_000, fixture.random)?.node shouldBe local.node
+                val suspects = ReleaseTargets(OLD, some.local, remote.map { it.copy(isSuspect = true) })
+                fixture.picker.pick(suspects, emptySet(), 1_000, fixture.random)?.node shouldBe local.node
+            }
+
+            // Guards against further refusals until the owner's announcement arrives.
+            it("is avoided from its refusal until the time that its owner has stated") {
+                val fixture = Fixture()
+                fixture.picker.refusedCold(local, 1_500, 1_000)
+                fixture.shareOf(local, 1_499) shouldBe 0
+                fixture.shareOf(local, 1_500) shouldBeGreaterThan 0
+            }
+        }
+
         describe("a target whose node does not respond to probes") {
             // Guards against calls to nodes behind a partition while membership waits for them to refute the suspicion.
             it("gets calls only while there is no other") {
--- a/configuration/src/main/kotlin/dev/baobabhollow/configuration/MeshValidation.kt
+++ b/configuration/src/main/kotlin/dev/baobabhollow/configuration/MeshValidation.kt
@@ -7,6 +7,7 @@
 import dev.baobabhollow.model.ServiceConfig
 import dev.baobabhollow.model.ServiceId
 import dev.baobabhollow.model.ServiceObjective
+import dev.baobabhollow.model.WarmUpConfig
 
 private val IDENTIFIER = Regex("[a-z0-9][a-z0-9._-]{0,63}")
 private val TIMEOUT_MILLIS = 1L..600_000L
@@ -45,9 +46,21 @@
             add(ConfigError("$path.initialRelease", "\"${service.initialRelease}\"", "one of ${service.releases}"))
         }
         addAll(objectiveErrors("$path.objective", service.objective))
+        service.warmUp?.let { addAll(warmUpErrors("$path.warmUp", it)) }
     }
 }
 
+private fun warmUpErrors(
+    path: String,
+    warmUp: WarmUpConfig,
+): List<ConfigError> =
+    buildList {
+        val rate = warmUp.requestsPerSecond
+        if (!rate.isFinite() || rate <= 0) add(ConfigError("$path.requestsPerSecond", "$rate", "more than 0"))
+        val duration = warmUp.durationMillis
+        if (duration < 1) add(ConfigError("$path.durationMillis", "$duration", "at least 1"))
+    }
+
 private fun objectiveErrors(
     path: String,
     objective: ServiceObjective,
--- a/membership/src/main/kotlin/dev/baobabhollow/membership/CompactRecord.kt
+++ b/membership/src/main/kotlin/dev/baobabhollow/membership/CompactRecord.kt
@@ -29,7 +29,9 @@
 ) {
     /** Upper bound of the encoded size in bytes. */
     internal val maxBytes: Int
-        get() = RECORD_OVERHEAD_BYTES + strings().sumOf { it.encodeToByteArray().size }
+        get() =
+            RECORD_OVERHEAD_BYTES + strings().sumOf { it.encodeToByteArray().size } +
+                if (target?.coldPerSecond == null) 0 else COLD_BYTES
 
     private fun strings() =
         listOfNotNull(
@@ -61,6 +63,9 @@
         /** Upper bound of the keys, lengths and numbers of a record with a target. */
         private const val RECORD_OVERHEAD_BYTES = 100
 
+        /** Key and value of [CompactTarget.coldPerSecond]. */
+        private const val COLD_BYTES = 11
+
         /** Returns the compact form of [record]. */
         fun of(record: NodeRecord): CompactRecord {
             val host = record.controlEndpoint.host
@@ -90,9 +95,10 @@
     @SerialName("k") val connections: Int,
     @SerialName("s") val status: TargetStatus = TargetStatus.SERVING,
     @SerialName("i") val instance: String? = null,
+    @SerialName("w") val coldPerSecond: Double? = null,
 ) {
     /** Returns the full record. */
-    fun toRecord(): TargetRecord = TargetRecord(service, release, slots, connections, status, instance)
+    fun toRecord(): TargetRecord = TargetRecord(service, release, slots, connections, status, instance, coldPerSecond)
 
     /** Conversion from full target records. */
     companion object {
@@ -105,6 +111,7 @@
                 target.connections,
                 target.status,
                 target.instance,
+                target.coldPerSecond,
             )
     }
 }
--- a/model/src/main/kotlin/dev/baobabhollow/model/MeshConfig.kt
+++ b/model/src/main/kotlin/dev/baobabhollow/model/MeshConfig.kt
@@ -69,6 +69,18 @@
     val objective: ServiceObjective = ServiceObjective(),
     /** Path of the targets' health check, or null if the configuration does not specify it. */
     val healthPath: String? = null,
+    /** Limit of requests to targets that have started recently, or null for none. */
+    val warmUp: WarmUpConfig? = null,
+)
+
+/**
+ * Warm-up of targets: a target is cold for [durationMillis] after its start, and may become cold again. While it is, it
+ * can handle [requestsPerSecond].
+ */
+@Serializable
+data class WarmUpConfig(
+    val requestsPerSecond: Double,
+    val durationMillis: Long,
 )
 
 /**
--- a/model/src/main/kotlin/dev/baobabhollow/model/NodeRecord.kt
+++ b/model/src/main/kotlin/dev/baobabhollow/model/NodeRecord.kt
@@ -52,7 +52,8 @@
 
 /**
  * Description of the target next to a node, with its limits of concurrent calls ([slots]) and [connections]. [instance]
- * distinguishes successive processes at the same address; it is null if the target does not announce it.
+ * distinguishes successive processes at the same address; it is null if the target does not announce it. While the
+ * target is cold, [coldPerSecond] is the number of requests a second that its node sends it at most, otherwise null.
  */
 @Serializable
 data class TargetRecord(
@@ -62,6 +63,7 @@
     val connections: Int,
     val status: TargetStatus = TargetStatus.SERVING,
     val instance: String? = null,
+    val coldPerSecond: Double? = null,
 )
 
 /** Whether a target accepts new calls. */
--- a/node/src/main/kotlin/dev/baobabhollow/node/AnnouncedTarget.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/AnnouncedTarget.kt
@@ -16,7 +16,10 @@
     val bornMillis: Long?
 }
 
-/** A periodic description of a target. [sequence] increases with each heartbeat since one start. */
+/**
+ * A periodic description of a target. [sequence] increases with each heartbeat since one start. [warmUpLeftMillis] is the
+ * time for which the target stays cold, 0 if it is warm, or null if it does not say.
+ */
 data class TargetHeartbeat(
     override val instance: String,
     override val bornMillis: Long,
@@ -26,6 +29,7 @@
     val release: ReleaseId,
     val slots: Int,
     val isDraining: Boolean,
+    val warmUpLeftMillis: Long? = null,
 ) : TargetMessage
 
 /** Announces that a target is about to stop. */
@@ -39,6 +43,8 @@
     val instance: String,
     /** Null if the response does not state them; the target is then used only once it announces itself. */
     val slots: Int?,
+    /** Time for which the target stays cold, 0 if it is warm, or null if the response does not say. */
+    val warmUpLeftMillis: Long? = null,
 )
 
 /** Effect of a message from a target. */
--- a/node/src/main/kotlin/dev/baobabhollow/node/AnnouncementHandler.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/AnnouncementHandler.kt
@@ -6,13 +6,15 @@
 
 /**
  * Handles the announcements of the target on the node's VM. Calls [onChange] before it responds to the target, and
- * [onUnconfirmed] for each heartbeat that needs a confirmation by the target's health path.
+ * [onUnconfirmed] for each heartbeat that needs a confirmation by the target's health path. [onWarmUp] gets what
+ * heartbeats and health responses say of the target's warm-up, before [onChange].
  */
 internal class AnnouncementHandler(
     settings: AnnouncedTargetSettings,
     private val adapter: PlatformAdapter,
     private val nowMillis: () -> Long,
     private val onChange: (TargetRecord?) -> Unit,
+    private val onWarmUp: (bornMillis: Long?, leftMillis: Long?) -> Unit = { _, _ -> },
     private val onUnconfirmed: () -> Unit,
 ) {
     private val target =
@@ -22,6 +24,9 @@
             (settings.heartbeatSeconds * MISSED_HEARTBEATS * MILLIS_PER_SECOND).toLong(),
         )
 
+    /** Limit of the cold target that other nodes know, in requests a second, or null. */
+    private var announcedColdPerSecond: Double? = null
+
     /** True while the identity or the state of the target has to be probed. */
     @get:Synchronized
     val needsProbe: Boolean get() = target.needsProbe
@@ -39,7 +44,9 @@
     /** Processes the result of a probe. */
     @Synchronized
     fun onProbeResponse(discovered: DiscoveredTarget) {
-        if (target.onProbeResponse(discovered, nowMillis()) != AnnouncementResult.CHANGED) return
+        val result = target.onProbeResponse(discovered, nowMillis())
+        if (result != AnnouncementResult.IGNORED) onWarmUp(null, discovered.warmUpLeftMillis)
+        if (result != AnnouncementResult.CHANGED) return
         onChange(target.record)
         EventLog.write("target_found", "target" to target.record)
     }
@@ -50,9 +57,21 @@
         if (target.checkSilence(nowMillis())) publishChange("silent", null)
     }
 
+    /** Announces the target again if [coldPerSecond], its limit while it is cold, has changed. */
+    @Synchronized
+    fun checkWarmth(coldPerSecond: Double?) {
+        if (coldPerSecond == announcedColdPerSecond) return
+        announcedColdPerSecond = coldPerSecond
+        onChange(target.record ?: return)
+    }
+
     @Synchronized
     private fun onMessage(message: TargetMessage): OperatorResponse {
-        when (target.onMessage(message, nowMillis())) {
+        val result = target.onMessage(message, nowMillis())
+        if (message is TargetHeartbeat && result != AnnouncementResult.IGNORED) {
+            onWarmUp(message.bornMillis, message.warmUpLeftMillis)
+        }
+        when (result) {
             AnnouncementResult.CHANGED -> publishChange("announced", message)
             AnnouncementResult.IGNORED -> EventLog.write("announcement_ignored", "message" to message)
             AnnouncementResult.UNCONFIRMED -> onUnconfirmed(message)
--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -6,8 +6,6 @@
 import dev.baobabhollow.model.MonotonicClock
 import dev.baobabhollow.model.MoveId
 import dev.baobabhollow.model.NodeId
-import dev.baobabhollow.model.NodeRecord
-import dev.baobabhollow.model.NodeStatus
 import dev.baobabhollow.model.TargetRecord
 import dev.baobabhollow.model.WriterId
 import dev.baobabhollow.peers.ControlCallbacks
@@ -75,13 +73,7 @@
         )
     private val announcements =
         settings.announcedTarget?.let {
-            AnnouncementHandler(
-                it,
-                adapter,
-                nowMillis,
-                ::applyTarget,
-                ::confirmTarget,
-            )
+            AnnouncementHandler(it, adapter, nowMillis, ::applyTarget, ::reportWarmUp, ::confirmTarget)
         }
     private val targetDiscovery =
         announcements?.let {
@@ -100,11 +92,13 @@
         ) { if (snapshot().lacking.isEmpty()) 1 else 0 }
         metrics.gauge("calls_in_flight", "Calls in flight on both ports") { proxy?.inFlight ?: 0 }
         metrics.gauge("target_load_permille", "Load of the own target in permille of its slots") {
-            proxy?.loadPermille
-                ?: 0
+            proxy?.loadPermille ?: 0
         }
         metrics.gauge("held_bytes", "Memory that calls and connections hold, in bytes") { proxy?.heldBytes ?: 0L }
         metrics.gauge("open_connections", "Open connections of callers and entry nodes") { proxy?.openConnections ?: 0 }
+        metrics.gauge("target_cold", "1 while the own target is believed to be cold") {
+            if (proxy?.coldPerSecond == null) 0 else 1
+        }
         logClaims?.let { metrics.claims(it.counters) }
     }
 
@@ -217,7 +211,19 @@
     /** Updates the target at this node's proxy at once, and then announces it to the other nodes. */
     private fun applyTarget(target: TargetRecord?) {
         proxy?.update(self.copy(target = target))
-        if (!control.announceTarget(target)) EventLog.write("target_announcement_lost", level = Level.WARN)
+        if (!control.announceTarget(
+                target?.copy(coldPerSecond = proxy?.coldPerSecond),
+            )
+        ) {
+            EventLog.write("target_announcement_lost", level = Level.WARN)
+        }
+    }
+
+    private fun reportWarmUp(
+        born: Long?,
+        leftMillis: Long?,
+    ) {
+        proxy?.reportWarmUp(born, leftMillis)
     }
 
     private fun confirmTarget() {
@@ -318,6 +324,7 @@
         }
         burn.sample(server.burnCounts(), nowMillis())
         announcements?.checkSilence()
+        announcements?.checkWarmth(server.coldPerSecond)
     }
 
     private fun sampleLag(server: ProxyServer) {
@@ -342,20 +349,5 @@
 
         /** Timeout for closing the connections of operators. */
         const val CLOSE_MILLIS = 500L
-
-        /** Uses the start time as incarnation, because a restarted process does not know its previous one. */
-        fun selfRecord(
-            settings: NodeSettings,
-            startMillis: Long,
-        ) = NodeRecord(
-            node = settings.node,
-            failureDomain = settings.failureDomain,
-            incarnation = startMillis,
-            status = NodeStatus.ALIVE,
-            controlEndpoint = settings.addresses.control,
-            peerCallEndpoint = settings.addresses.peerCalls,
-            operatorEndpoint = settings.addresses.operator,
-            target = settings.target?.let { TargetRecord(it.service, it.release, it.slots, it.connections) },
-        )
     }
 }
--- a/node/src/main/kotlin/dev/baobabhollow/node/NodeSettings.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/NodeSettings.kt
@@ -31,6 +31,7 @@
     val announcedTarget: AnnouncedTargetSettings? = null,
     val readiness: EndpointText? = null,
     val retries: RetrySettings? = null,
+    val coldTargets: ColdTargetLimits? = null,
 )
 
 /** Platform that a node can run on. */
@@ -67,6 +68,16 @@
     val slack: Double? = null,
 )
 
+/**
+ * Bound of the requests that a cold target gets in any second: the `warmUp` rate of its service times [overShare], and
+ * [slack] requests.
+ */
+@Serializable
+data class ColdTargetLimits(
+    val overShare: Double,
+    val slack: Double,
+)
+
 /**
  * Endpoints that a node listens on: [callers] for calls from clients, [peerCalls] for calls from other nodes,
  * [control] (UDP and TCP) for the control plane and [operator] for operators.
--- a/node/src/main/kotlin/dev/baobabhollow/node/PlatformTuning.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/PlatformTuning.kt
@@ -1,6 +1,7 @@
 package dev.baobabhollow.node
 
 import dev.baobabhollow.calls.AdmissionSettings
+import dev.baobabhollow.calls.ColdTargetSettings
 import dev.baobabhollow.calls.OutlierSettings
 import dev.baobabhollow.calls.PickerSettings
 import dev.baobabhollow.calls.RetryBudgetSettings
@@ -34,10 +35,12 @@
             eventLoops = settings.limits.eventLoopThreads,
         ).withinFiles(settings)
     if (settings.platform == PlatformKind.OWN) return base
+    val coldTargets = settings.coldTargets?.let { ColdTargetSettings(it.overShare, it.slack) }
     val retries = settings.retries ?: RetrySettings()
     return base.copy(
         protocol = protocol,
         callerService = settings.announcedTarget?.service,
+        coldTargets = coldTargets,
         retriesServerErrors = true,
         sendsRemainingTime = true,
         infersCallAge = true,
--- a/node/src/main/kotlin/dev/baobabhollow/node/SettingsValidation.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/SettingsValidation.kt
@@ -15,6 +15,7 @@
         addAll(limitErrors(settings.limits))
         addAll(announcedErrors(settings))
         settings.retries?.let { addAll(retryErrors(it)) }
+        settings.coldTargets?.let { addAll(coldErrors(it)) }
     }
 
 private fun announcedErrors(settings: NodeSettings): List<ConfigError> =
@@ -38,6 +39,12 @@
         retries.slack?.let { if (it < 0) add(ConfigError("$.retries.slack", "$it", "0 or more")) }
     }
 
+private fun coldErrors(limits: ColdTargetLimits): List<ConfigError> =
+    buildList {
+        if (limits.overShare <= 0) add(ConfigError("$.coldTargets.overShare", "${limits.overShare}", "more than 0"))
+        if (limits.slack < 0) add(ConfigError("$.coldTargets.slack", "${limits.slack}", "0 or more"))
+    }
+
 private fun identifier(
     path: String,
     value: String,
--- a/node/src/test/kotlin/dev/baobabhollow/node/SettingsSpec.kt
+++ b/node/src/test/kotlin/dev/baobabhollow/node/SettingsSpec.kt
@@ -83,6 +83,19 @@
                     listOf("$.announcedTarget.heartbeatSeconds", "$.retries.share", "$.retries.slack")
             }
 
+            // Guards against a limit in deployments that state none, and against an invalid one that admits nothing.
+            it("accepts the bound for cold targets, has none by default and validates its values") {
+                parseSettings(RENDERED_SETTINGS).unwrap().coldTargets shouldBe null
+                val bound = "\"coldTargets\":{\"overShare\":1.5,\"slack\":8},\"limits\""
+                val text = RENDERED_SETTINGS.replace("\"limits\"", bound)
+                parseSettings(text).unwrap().coldTargets shouldBe ColdTargetLimits(1.5, 8.0)
+                val bad = text.replace(":1.5,\"slack\":8", ":0,\"slack\":-1")
+                parseSettings(bad).unwrapError().map { it.path } shouldContainExactlyInAnyOrder
+                    listOf("$.coldTargets.overShare", "$.coldTargets.slack")
+                parseSettings(text.replace(",\"slack\":8", "")).unwrapError().map { it.path } shouldBe
+                    listOf("$.coldTargets.slack")
+            }
+
             it("suggests the nearest known key for a misspelt one") {
                 val errors = parseSettings(GOOD.replace("\"seeds\"", "\"seds\"")).unwrapError()
                 errors shouldBe listOf(ConfigError("$.seds", "unknown key \"seds\"", "\"seeds\" or no such key"))
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallFailure.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallFailure.kt
@@ -38,6 +38,7 @@
     DEADLINE_PASSED("deadline-passed"),
     WRONG_TARGET("wrong-target"),
     EVACUATED("evacuated"),
+    COLD_TARGET("cold-target"),
     TARGET_REFUSED("target-refused"),
     OWNER_UNREACHABLE("owner-unreachable", CallHealth.NO_CONNECTION),
     TARGET_UNREACHABLE("target-unreachable", CallHealth.NO_CONNECTION),
@@ -100,6 +101,7 @@
                 Refusal.WAIT_TOO_LONG -> notRun(FailureReason.WAIT_TOO_LONG)
                 Refusal.DEADLINE_PASSED -> deadlinePassed(mayHaveRun = false)
                 Refusal.DRAINING -> notRun(FailureReason.DRAINING)
+                Refusal.COLD_TARGET -> notRun(FailureReason.COLD_TARGET)
             }
     }
 }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallProtocol.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallProtocol.kt
@@ -59,6 +59,9 @@
     /** Reads the call metadata from the head of a target's response. */
     fun readResponseMetadata(head: HttpResponse): ResponseMetadata
 
+    /** Reads the milliseconds that a target stays cold from the response of its health path; null if it does not say. */
+    fun readWarmUpLeft(headers: HttpHeaders): Long? = null
+
     /** Adapts the status and headers of an error response that a node generates. */
     fun writeFailure(
         head: HttpResponse,
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ConnectionPool.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ConnectionPool.kt
@@ -40,7 +40,7 @@
 /** Pools the connections of one event loop to one endpoint. Confined to that event loop except for [closeOneIdle]. */
 internal class ConnectionPool(
     private val loop: EventLoop,
-    private val endpoint: Endpoint,
+    val endpoint: Endpoint,
     private val settings: ProxySettings,
     private val limit: ConnectionLimit,
     private val nowMillis: () -> Long,
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
@@ -65,6 +65,9 @@
     private var responseBytes = 0L
     private var loadPermille: Int? = null
 
+    /** Shortest time in milliseconds until a cold target that refused the call has capacity. */
+    private var coldRetryMillis: Long? = null
+
     override val leg = "entry"
 
     fun start() {
@@ -206,12 +209,26 @@
         failure.loadPermille?.let { loadPermille = it }
         val reachedTarget = failure.outcome == CallOutcome.UNKNOWN || failure.reason == FailureReason.TARGET_REFUSED
         if (reachedTarget) attemptsAtTargets++
-        val next = if (isRetryable(failure)) nextTarget(reachedTarget || node.settings.chargesRefusals) else null
+        if (failure.reason == FailureReason.COLD_TARGET) onColdTarget(failure.retryAfterMillis ?: 0)
+        val isCharged = reachedTarget || (node.settings.chargesRefusals && failure.reason !in UNCHARGED_REFUSALS)
+        val next = if (isRetryable(failure)) nextTarget(isCharged) else null
         if (next != null) return retry(next, failure.reason.health)
         attempt?.abandon()
         attempt = null
         // The load header is for entry nodes only.
-        fail(failure.copy(loadPermille = null))
+        val isCold = failure.reason == FailureReason.COLD_TARGET
+        fail(
+            failure.copy(
+                loadPermille = null,
+                retryAfterMillis = if (isCold) coldRetryMillis else failure.retryAfterMillis,
+            ),
+        )
+    }
+
+    private fun onColdTarget(retryAfterMillis: Long) {
+        val now = node.nowMillis()
+        coldRetryMillis = minOf(coldRetryMillis ?: Long.MAX_VALUE, retryAfterMillis)
+        target?.let { node.picker.refusedCold(it, now + retryAfterMillis, now) }
     }
 
     private fun isRetryable(failure: CallFailure): Boolean {
@@ -295,6 +312,9 @@
         const val SERVER_ERRORS = 500
         const val GATEWAY_TIMEOUT = 504
 
+        /** Refusals that say where calls belong; no target has seen the call. */
+        val UNCHARGED_REFUSALS = setOf(FailureReason.EVACUATED, FailureReason.COLD_TARGET)
+
         /** Assumed length of a chunked body; most of these are uploads. */
         const val UNKNOWN_BODY_BYTES = 65_536L
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
@@ -2,6 +2,7 @@
 
 import dev.baobabhollow.calls.Admission
 import dev.baobabhollow.calls.CallAgeEstimator
+import dev.baobabhollow.calls.ColdTargetLimiter
 import dev.baobabhollow.calls.OutlierDetector
 import dev.baobabhollow.calls.ResponseSizeEstimator
 import dev.baobabhollow.calls.RetryBudgets
@@ -49,7 +50,10 @@
     private var drainUntilMillis = Long.MAX_VALUE
 
     val memory = HeldMemory(settings.maxHeldBytes)
-    val admission = Admission(settings.admission, self.target?.slots ?: 1)
+    val coldLimiter =
+        settings.coldTargets?.takeIf { targetEndpoint != null }?.let { ColdTargetLimiter(it, nowMillis()) }
+    val coldGuard = coldLimiter?.let { ColdTargetGuard(this, it) }
+    val admission = Admission(settings.admission, self.target?.slots ?: 1, coldLimiter)
     val outliers = OutlierDetector(settings.outliers)
     val budgets = RetryBudgets(settings.retries)
     val callAgeEstimator = CallAgeEstimator()
@@ -136,12 +140,14 @@
     fun update(self: NodeRecord) {
         this.self = self
         val target = self.target ?: return admission.drain()
+        coldGuard?.configure(tables())
         targetLimit.max = target.connections
         admission.resize(minOf(target.slots, target.connections), nowMicros(), nowMillis())
         if (isDraining || target.status != TargetStatus.SERVING) admission.drain() else admission.resume()
     }
 
     fun forgetAbsent(table: RoutingTable) {
+        coldGuard?.configure(table)
         picker.retain(table.nodes)
         outliers.retain(table.nodes)
         budgets.retain(table.services.keys)
@@ -253,6 +259,16 @@
         "event=call_unrouted call=$callId host=$host path=$start version=$version status=404"
     }
 
+    /** Logs that the target is believed to be cold for [leftMillis], or warm. */
+    fun logWarmth(
+        isCold: Boolean,
+        cause: String,
+        leftMillis: Long?,
+    ) = callLog.write {
+        "event=${if (isCold) "target_cold" else "target_warm"} cause=$cause left_ms=$leftMillis " +
+            "instance=${self.target?.instance} in_use=${admission.inUse} waiting=${admission.waiting}"
+    }
+
     fun logUnexpected(cause: Throwable) {
         LOG.error("event=proxy_unexpected_error", cause)
     }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
@@ -79,6 +79,18 @@
     /** Applies a changed record of this node: slots, connections, release and status of its target. */
     fun update(self: NodeRecord) = node.update(self)
 
+    /**
+     * Takes a report of the local target that it stays cold for [leftMillis], or null if it does not say. [bornMillis] is
+     * its start in epoch milliseconds of its own clock, or null if the report omits it.
+     */
+    fun reportWarmUp(
+        bornMillis: Long?,
+        leftMillis: Long?,
+    ) = node.coldGuard?.onReport(bornMillis, leftMillis)
+
+    /** Requests a second that the local target gets at most while it is believed to be cold, otherwise null. */
+    val coldPerSecond: Double? get() = node.coldGuard?.coldPerSecond
+
     /** Drops the statistics of targets and services that are not in [table]. Call it after a change of the table. */
     fun forgetAbsent(table: RoutingTable) = node.forgetAbsent(table)
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxySettings.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxySettings.kt
@@ -1,6 +1,7 @@
 package dev.baobabhollow.proxy
 
 import dev.baobabhollow.calls.AdmissionSettings
+import dev.baobabhollow.calls.ColdTargetSettings
 import dev.baobabhollow.calls.OutlierSettings
 import dev.baobabhollow.calls.PickerSettings
 import dev.baobabhollow.calls.RetryBudgetSettings
@@ -94,6 +95,8 @@
     val outliers: OutlierSettings = OutlierSettings(),
     val retries: RetryBudgetSettings = RetryBudgetSettings(),
     val admission: AdmissionSettings = AdmissionSettings(),
+    /** Bound of the requests to a cold target, or null for none. */
+    val coldTargets: ColdTargetSettings? = null,
 ) {
     /** Most connections that one event loop serves. */
     internal val maxConnectionsPerLoop: Int get() = (maxConnections / eventLoops).coerceAtLeast(1)
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
@@ -91,6 +91,7 @@
             }
         ticket = submitted
         immediate?.invoke()
+        node.coldGuard?.check(loop)
     }
 
     private fun slotRequest(): SlotRequest {
@@ -108,7 +109,8 @@
     private fun onDecided(refusal: Refusal?) {
         if (isEnded) return
         if (refusal != null) {
-            val retryAfter = node.admission.estimatedWaitMillis()
+            val coldMillis = if (refusal == Refusal.COLD_TARGET) node.coldGuard?.retryAfterMillis() else null
+            val retryAfter = coldMillis ?: node.admission.estimatedWaitMillis()
             return finish(
                 CallFailure.of(refusal).copy(retryAfterMillis = retryAfter, loadPermille = node.admission.loadPermille),
             )
@@ -216,7 +218,9 @@
     /** Writes the remaining time only now, since the call may have waited for a connection. */
     override fun onSending() {
         head?.let { node.settings.protocol.writeTargetMetadata(it.headers(), targetMetadata(it)) }
-        node.logDelay(callId, "owner", startMicros - submittedMicros, node.nowMicros() - startMicros)
+        val connectionMicros = node.nowMicros() - startMicros
+        node.coldGuard?.onSending(connectionMicros)
+        node.logDelay(callId, "owner", startMicros - submittedMicros, connectionMicros)
     }
 
     override fun onResponseHead(head: HttpResponse) {
@@ -310,6 +314,7 @@
         if (!isSlotHeld) return
         isSlotHeld = false
         node.admission.end(held, node.nowMicros(), node.nowMillis(), isMeasured)
+        node.coldGuard?.check(loop)
     }
 
     private companion object {
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/TestMesh.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/TestMesh.kt
@@ -18,6 +18,7 @@
 import dev.baobabhollow.model.ServiceConfig
 import dev.baobabhollow.model.ServiceId
 import dev.baobabhollow.model.TargetRecord
+import dev.baobabhollow.model.WarmUpConfig
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 
 private val SERVICE = ServiceId("pedidos")
@@ -39,6 +40,7 @@
     private val nowMillis: () -> Long = System::currentTimeMillis,
     private val entryNowMillis: () -> Long = nowMillis,
     private val domains: List<String> = listOf("a"),
+    private val warmUp: WarmUpConfig? = null,
 ) : AutoCloseable {
     @Volatile
     var table: RoutingTable = RoutingTable.EMPTY
@@ -55,6 +57,7 @@
 
     init {
         table = compile()
+        owners.forEach { it.forgetAbsent(table) }
     }
 
     /** Returns the table of this mesh while the targets in the [evacuated] domains get no calls. */
@@ -72,7 +75,7 @@
     private fun config() =
         MeshConfig(
             mapOf(MemberId("m") to MemberConfig("Member")),
-            mapOf(SERVICE to ServiceConfig(MemberId("m"), setOf(RELEASE), RELEASE)),
+            mapOf(SERVICE to service()),
             mapOf(
                 RouteId("stock") to route("/stock", isIdempotent = true, CallClass.LOOKUP),
                 RouteId("orders") to route("/orders", isIdempotent = false, CallClass.LOOKUP),
@@ -80,6 +83,9 @@
             ),
         )
 
+    private fun service() =
+        ServiceConfig(MemberId("m"), setOf(RELEASE), RELEASE, healthPath = "/health", warmUp = warmUp)
+
     private fun route(
         prefix: String,
         isIdempotent: Boolean,
