--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -7,8 +7,6 @@
 import dev.baobabhollow.model.MonotonicClock
 import dev.baobabhollow.model.MoveId
 import dev.baobabhollow.model.NodeId
-import dev.baobabhollow.model.NodeRecord
-import dev.baobabhollow.model.NodeStatus
 import dev.baobabhollow.model.TargetRecord
 import dev.baobabhollow.model.WriterId
 import dev.baobabhollow.peers.ControlCallbacks
@@ -77,7 +75,7 @@
         )
     private val announcements =
         settings.announcedTarget?.let {
-            AnnouncementHandler(it, adapter, nowMillis, ::applyTarget, ::confirmTarget)
+            AnnouncementHandler(it, adapter, nowMillis, ::applyTarget, ::reportWarmUp, ::confirmTarget)
         }
     private val targetDiscovery =
         announcements?.let {
@@ -96,6 +94,9 @@
         metrics.gauge("target_load_permille", loadHelp) { proxy?.loadPermille ?: 0 }
         metrics.gauge("held_bytes", "Memory that calls and connections hold, in bytes") { proxy?.heldBytes ?: 0L }
         metrics.gauge("open_connections", "Open connections of callers and entry nodes") { proxy?.openConnections ?: 0 }
+        metrics.gauge("target_cold", "1 while the own target is believed to be cold") {
+            if (proxy?.coldPerSecond == null) 0 else 1
+        }
         logClaims?.let { metrics.claims(it.counters) }
         quotas?.let(metrics::quotas)
     }
@@ -210,7 +211,19 @@
     /** Updates the target at this node's proxy at once, and then announces it to the other nodes. */
     private fun applyTarget(target: TargetRecord?) {
         proxy?.update(self.copy(target = target))
-        if (!control.announceTarget(target)) EventLog.write("target_announcement_lost", level = Level.WARN)
+        if (!control.announceTarget(
+                target?.copy(coldPerSecond = proxy?.coldPerSecond),
+            )
+        ) {
+            EventLog.write("target_announcement_lost", level = Level.WARN)
+        }
+    }
+
+    private fun reportWarmUp(
+        born: Long?,
+        leftMillis: Long?,
+    ) {
+        proxy?.reportWarmUp(born, leftMillis)
     }
 
     private fun confirmTarget() {
@@ -315,6 +328,7 @@
         }
         burn.sample(server.burnCounts(), nowMillis())
         announcements?.checkSilence()
+        announcements?.checkWarmth(server.coldPerSecond)
     }
 
     private fun sampleLag(server: ProxyServer) {
@@ -339,20 +353,5 @@
 
         /** Timeout for closing the connections of operators. */
         const val CLOSE_MILLIS = 500L
-
-        /** Uses the start time as incarnation, because a restarted process does not know its previous one. */
-        fun selfRecord(
-            settings: NodeSettings,
-            startMillis: Long,
-        ) = NodeRecord(
-            node = settings.node,
-            failureDomain = settings.failureDomain,
-            incarnation = startMillis,
-            status = NodeStatus.ALIVE,
-            controlEndpoint = settings.addresses.control,
-            peerCallEndpoint = settings.addresses.peerCalls,
-            operatorEndpoint = settings.addresses.operator,
-            target = settings.target?.let { TargetRecord(it.service, it.release, it.slots, it.connections) },
-        )
     }
 }
--- a/node/src/main/kotlin/dev/baobabhollow/node/SettingsValidation.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/SettingsValidation.kt
@@ -16,6 +16,7 @@
         addAll(announcedErrors(settings))
         settings.retries?.let { addAll(retryErrors(it)) }
         settings.quotas?.let { addAll(quotaErrors(it)) }
+        settings.coldTargets?.let { addAll(coldErrors(it)) }
     }
 
 private fun announcedErrors(settings: NodeSettings): List<ConfigError> =
@@ -48,6 +49,12 @@
         addAll(atLeastOne("$.quotas.failureDomains", quotas.failureDomains.toLong()))
     }
 
+private fun coldErrors(limits: ColdTargetLimits): List<ConfigError> =
+    buildList {
+        if (limits.overShare <= 0) add(ConfigError("$.coldTargets.overShare", "${limits.overShare}", "more than 0"))
+        if (limits.slack < 0) add(ConfigError("$.coldTargets.slack", "${limits.slack}", "0 or more"))
+    }
+
 private fun identifier(
     path: String,
     value: String,
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/TestMesh.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/TestMesh.kt
@@ -20,6 +20,7 @@
 import dev.baobabhollow.model.TargetRecord
 import dev.baobabhollow.model.TenantConfig
 import dev.baobabhollow.model.TenantId
+import dev.baobabhollow.model.WarmUpConfig
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 
 private val SERVICE = ServiceId("pedidos")
@@ -42,6 +43,7 @@
     private val entryNowMillis: () -> Long = nowMillis,
     private val domains: List<String> = listOf("a"),
     private val quotas: CallQuotas = NoCallQuotas,
+    private val warmUp: WarmUpConfig? = null,
 ) : AutoCloseable {
     @Volatile
     var table: RoutingTable = RoutingTable.EMPTY
@@ -58,6 +60,7 @@
 
     init {
         table = compile()
+        owners.forEach { it.forgetAbsent(table) }
     }
 
     /** Puts [tenants] in force as a newer version. Calls to the path `/public` need no key. */
@@ -89,7 +92,7 @@
     private fun config() =
         MeshConfig(
             mapOf(MemberId("m") to MemberConfig("Member")),
-            mapOf(SERVICE to ServiceConfig(MemberId("m"), setOf(RELEASE), RELEASE)),
+            mapOf(SERVICE to service()),
             mapOf(
                 RouteId("stock") to route("/stock", isIdempotent = true, CallClass.LOOKUP),
                 RouteId("orders") to route("/orders", isIdempotent = false, CallClass.LOOKUP),
@@ -97,6 +100,9 @@
             ),
         )
 
+    private fun service() =
+        ServiceConfig(MemberId("m"), setOf(RELEASE), RELEASE, healthPath = "/health", warmUp = warmUp)
+
     private fun route(
         prefix: String,
         isIdempotent: Boolean,
