--- a/calls/src/main/kotlin/dev/baobabhollow/calls/TenantTable.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/TenantTable.kt
@@ -60,7 +60,6 @@
         val EMPTY = TenantTable(false, emptyMap())
 
         /** Compiles the tenants of [mesh]. */
-        fun of(mesh: MeshConfig): TenantTable =
-            if (mesh.isKeyRequired) TenantTable(true, mesh.tenants) else EMPTY
+        fun of(mesh: MeshConfig): TenantTable = if (mesh.isKeyRequired) TenantTable(true, mesh.tenants) else EMPTY
     }
 }
--- a/calls/src/test/kotlin/dev/baobabhollow/calls/TenantFairnessSpec.kt
+++ b/calls/src/test/kotlin/dev/baobabhollow/calls/TenantFairnessSpec.kt
@@ -66,7 +66,8 @@
     )
 
     private val random = Random(seed)
-    private val admission = Admission(AdmissionSettings(queuePermille = queuePermille, initialServiceMicros = 50_000), SLOTS)
+    private val admission =
+        Admission(AdmissionSettings(queuePermille = queuePermille, initialServiceMicros = 50_000), SLOTS)
     private val events = PriorityQueue<Event>(compareBy { it.atMillis })
     private var now = 0.0
     val byTenant = List(TENANTS) { Counts() }
--- a/configuration/src/main/kotlin/dev/baobabhollow/configuration/ContentHash.kt
+++ b/configuration/src/main/kotlin/dev/baobabhollow/configuration/ContentHash.kt
@@ -33,9 +33,7 @@
     }
 
     /** Returns the hash of [mesh] alone. */
-    fun hash(mesh: MeshConfig): String {
-        return digest("${ModelJson.encodeToString(withoutSummed(mesh))}|${summedText(mesh)}")
-    }
+    fun hash(mesh: MeshConfig): String = digest("${ModelJson.encodeToString(withoutSummed(mesh))}|${summedText(mesh)}")
 
     private fun withoutSummed(mesh: MeshConfig) = mesh.copy(routes = emptyMap(), tenants = emptyMap())
 
--- a/configuration/src/test/kotlin/dev/baobabhollow/configuration/TenantChangeSpec.kt
+++ b/configuration/src/test/kotlin/dev/baobabhollow/configuration/TenantChangeSpec.kt
@@ -89,7 +89,10 @@
                 val first = meshOf("a" to tenant(1), "b" to tenant(2)).copy(routes = routes)
                 val second = meshOf("a" to tenant(), "b" to tenant(1, 2)).copy(routes = routes)
                 val builder = LogBuilder().add(ConfigurationRecord(1, first))
-                val (sender, peer) = List(2) { ConfigurationReplica().apply { offer(RecordBatch(-1, builder.entries)) } }
+                val (sender, peer) =
+                    List(
+                        2,
+                    ) { ConfigurationReplica().apply { offer(RecordBatch(-1, builder.entries)) } }
                 builder.add(ConfigurationRecord(2, second))
                 sender.offer(RecordBatch(0, builder.entries.drop(1)))
                 val batch = sender.deltaEncoded(sender.recordsAfter(0).shouldNotBeNull())
@@ -147,7 +150,12 @@
         }
 
         describe("a patch of tenants") {
-            val base = basePatch.appliedTo(MeshConfig()).get().shouldNotBeNull().mesh
+            val base =
+                basePatch
+                    .appliedTo(MeshConfig())
+                    .get()
+                    .shouldNotBeNull()
+                    .mesh
 
             fun put(
                 name: String,
@@ -164,7 +172,12 @@
             // Guards against a mesh that is open to everyone once the operator has removed the last tenant.
             it("leaves keys required when it removes the last one") {
                 val removal = Patch(listOf(put("a", tenant(1)), Change.RemoveTenant(TenantId("a"))))
-                val mesh = removal.appliedTo(base).get()?.mesh.shouldNotBeNull()
+                val mesh =
+                    removal
+                        .appliedTo(base)
+                        .get()
+                        ?.mesh
+                        .shouldNotBeNull()
                 mesh.tenants shouldBe emptyMap()
                 mesh.isKeyRequired shouldBe true
             }
--- a/model/src/main/kotlin/dev/baobabhollow/model/MeshChange.kt
+++ b/model/src/main/kotlin/dev/baobabhollow/model/MeshChange.kt
@@ -27,7 +27,14 @@
         removedRoutes.forEach(routes::remove)
         routes.putAll(putRoutes)
         val services = services ?: base.services
-        return MeshConfig(members ?: base.members, services, routes, callerLimits, tenantsAfter(base), isTenantListEmpty)
+        return MeshConfig(
+            members ?: base.members,
+            services,
+            routes,
+            callerLimits,
+            tenantsAfter(base),
+            isTenantListEmpty,
+        )
     }
 
     /** Keeps the instance of the map if no tenant differs, so that nodes need not compile its keys again. */
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/Authentication.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/Authentication.kt
@@ -23,7 +23,9 @@
 internal fun bearerKey(values: List<String>): PresentedKey {
     if (values.isEmpty()) return PresentedKey.Absent
     val value = values.singleOrNull()?.trim { it in WHITESPACE } ?: return PresentedKey.Malformed
-    val isBearer = value.startsWith(BEARER, ignoreCase = true) && value.drop(BEARER.length).firstOrNull()?.let { it in WHITESPACE } == true
+    val isBearer =
+        value.startsWith(BEARER, ignoreCase = true) &&
+            value.drop(BEARER.length).firstOrNull()?.let { it in WHITESPACE } == true
     if (!isBearer) return PresentedKey.Malformed
     // Header bytes are decoded as Latin-1, so this restores the bytes that the caller sent.
     val key = value.substring(BEARER.length).trim { it in WHITESPACE }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyMetrics.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyMetrics.kt
@@ -44,8 +44,9 @@
         Counter
             .builder()
             .name("baobabhollow_tenant_calls_total")
-            .help("Calls at the entry node by tenant and status class of the answer, for the first $MAX_TENANTS tenants")
-            .labelNames("tenant", "status")
+            .help(
+                "Calls at the entry node by tenant and status class of the answer, for the first $MAX_TENANTS tenants",
+            ).labelNames("tenant", "status")
             .register(registry)
     private val tenantNames = BoundedNames(MAX_TENANTS, OTHER_TENANTS)
     private val callPoints = ConcurrentHashMap<String, Array<CounterDataPoint>>()
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
@@ -110,7 +110,13 @@
         )
     }
 
-    private fun tenantPriority(): Int? = tenant?.let { node.tables().tenants.configs[it]?.priority }
+    private fun tenantPriority(): Int? =
+        tenant?.let {
+            node
+                .tables()
+                .tenants.configs[it]
+                ?.priority
+        }
 
     private fun onDecided(refusal: Refusal?) {
         if (isEnded) return
--- a/proxy/src/test/kotlin/dev/baobabhollow/proxy/TenantSpec.kt
+++ b/proxy/src/test/kotlin/dev/baobabhollow/proxy/TenantSpec.kt
@@ -71,7 +71,10 @@
                     val response = call(mesh.port, "/stock", headers = bearer("k1"))
                     response?.status shouldBe 200
                     seen.single().headers["customer"] shouldBe "ana"
-                    seen.single().headers.keys.filter { it == "authorization" || it.startsWith("x-baob") } shouldBe
+                    seen
+                        .single()
+                        .headers.keys
+                        .filter { it == "authorization" || it.startsWith("x-baob") } shouldBe
                         emptyList()
                 }
             }
@@ -288,7 +291,8 @@
                 var reads = 0
                 val counting =
                     object : CallProtocol by TenantHeaderProtocol {
-                        override fun readApiKey(headers: HttpHeaders) = MeshProtocol.readApiKey(headers).also { reads++ }
+                        override fun readApiKey(headers: HttpHeaders) =
+                            MeshProtocol.readApiKey(headers).also { reads++ }
                     }
                 val without = ProxySettings(LOOPBACK_ANY, protocol = counting)
                 TestMesh(listOf(target.port), settings = without).use { mesh ->
