Pass the bounds of a deployment in the environment instead of template sections

Cause: sections in deploy/node.json left a file that is not JSON for a renderer without sections, such as that of the review's cases, which must stay as they are. A deployment with two failure domains would also have had two thirds of each quota only, since a node assumes three until it knows more.

A reload also applies the environment.

--- a/cli/src/main/kotlin/dev/baobabhollow/cli/NodeCommand.kt
+++ b/cli/src/main/kotlin/dev/baobabhollow/cli/NodeCommand.kt
@@ -1,17 +1,22 @@
 package dev.baobabhollow.cli
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrElse
+import dev.baobabhollow.model.ConfigError
 import dev.baobabhollow.model.MonotonicClock
 import dev.baobabhollow.node.EventLog
 import dev.baobabhollow.node.LOG_NODE_PROPERTY
-import dev.baobabhollow.node.LimitSettings
 import dev.baobabhollow.node.Node
 import dev.baobabhollow.node.NodeSettings
 import dev.baobabhollow.node.PlatformKind
 import dev.baobabhollow.node.parseSettings
 import dev.baobabhollow.platform.ConsortiumPlatform
+import dev.baobabhollow.platform.withDeploymentTerms
 import kotlinx.cli.ArgType
 import kotlinx.cli.required
 import org.apache.logging.log4j.Level
@@ -34,7 +39,7 @@
             }
         System.setProperty(LOG_NODE_PROPERTY, parsed.node.value)
         if (parsed.platform != PlatformKind.OWN) logWithoutBlocking()
-        val node = nodeOf(parsed.copy(limits = withOpenFiles(parsed.limits)))
+        val node = nodeOf(withEnvironment(parsed).getOrElse { fail(it.joinToString("\n")) })
         reloadOnSighup(node)
         try {
             node.start()
@@ -46,12 +51,17 @@
         return EXIT_DONE
     }
 
-    /** Applies the limit of open files of a platform that states it in the environment. */
-    private fun withOpenFiles(limits: LimitSettings): LimitSettings {
-        val text = System.getenv(OPEN_FILES_VARIABLE)?.ifEmpty { null } ?: return limits
-        val files =
-            text.toIntOrNull()?.takeIf { it > 0 } ?: fail("$OPEN_FILES_VARIABLE: \"$text\" is not a positive number")
-        return limits.copy(openFiles = files)
+    /** Applies what the platform states in the environment. */
+    private fun withEnvironment(settings: NodeSettings): Result<NodeSettings, List<ConfigError>> {
+        val limited = withOpenFiles(settings).getOrElse { return Err(listOf(it)) }
+        return if (settings.platform == PlatformKind.OWN) Ok(limited) else withDeploymentTerms(limited, System::getenv)
+    }
+
+    private fun withOpenFiles(settings: NodeSettings): Result<NodeSettings, ConfigError> {
+        val text = System.getenv(OPEN_FILES_VARIABLE)?.ifEmpty { null } ?: return Ok(settings)
+        val files = text.toIntOrNull()?.takeIf { it > 0 }
+        if (files == null) return Err(ConfigError(OPEN_FILES_VARIABLE, "\"$text\"", "a positive number"))
+        return Ok(settings.copy(limits = settings.limits.copy(openFiles = files)))
     }
 
     private fun logWithoutBlocking() {
@@ -72,7 +82,7 @@
     private fun reloadOnSighup(node: Node) =
         Signal.handle(Signal("HUP")) {
             val text = runCatching { File(settings).readText() }
-            val parsed = text.map { parseSettings(it) }
+            val parsed = text.map { parseSettings(it).andThen(::withEnvironment) }
             val next = parsed.getOrNull()?.get()
             if (next != null) {
                 node.reload(next)
--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -173,8 +173,6 @@
         String text = Files.readString(root.resolve("deploy/node.json"))
             .replace("{{ip}}:{{port-range.0}}", fields.get("{ip}:port-range.0"))
             .replace("{{ip}}:{{port-range.1}}", fields.get("{ip}:port-range.1"));
-        // This deployment has no quotas, so the section that depends on them is absent.
-        text = text.replaceAll("(?s)\\{\\{#([^}]+)}}.*?\\{\\{/\\1}}", "");
         for (Map.Entry<String, String> field : fields.entrySet()) {
             text = text.replace("{{" + field.getKey() + "}}", field.getValue());
         }
