Select targets by their owners' estimates of response times

Entry nodes learn of a slow phase of a target only from their own few calls, when it is over. TargetPicker (SHORTEST_WAIT) uses the owner's estimate of wait and service time with its age where there is one. The estimate stays in use beside the random sample and the calls in flight.

--- a/calls/src/main/kotlin/dev/baobabhollow/calls/TargetPicker.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/TargetPicker.kt
@@ -62,15 +62,17 @@
 
     /**
      * Ends a call counted by [started]. [micros] is its latency, or null if it is no evidence of the target's latency.
-     * [loadPermille] is the load that the owner reported, or null.
+     * [loadPermille] is the load that the owner reported, and [estimate] its estimate for a new call, or null.
      */
     fun finished(
         target: TargetEndpoint,
         micros: Long?,
         loadPermille: Int?,
         nowMillis: Long,
+        estimate: ResponseTimeEstimate? = null,
     ) {
         val entry = stats.of(target, nowMillis)
+        estimate?.let { entry.observeEstimate(it, nowMillis) }
         entry.inFlight.updateAndGet { (it - 1).coerceAtLeast(0) }
         if (micros != null || loadPermille != null) entry.onResponse(nowMillis)
         if (micros != null) {
@@ -149,12 +151,16 @@
             List(count) { targets[random.nextInt(targets.size)] }
         }
 
-    /** Calls arrive unevenly, so queue waits are noticeable well below full load: hence the cubic term. */
+    /**
+     * Returns the expected time by the owner's estimate if there is one, else by the latency of this node's own calls.
+     * Calls arrive unevenly, so queue waits are noticeable well below full load: hence the cubic term.
+     */
     private fun expectedMicros(
         target: TargetEndpoint,
         nowMillis: Long,
     ): Double {
         val entry = stats.of(target, nowMillis)
+        entry.ownerEstimateMicros(target.slots, nowMillis, settings)?.let { return it / weight(entry, nowMillis) }
         val load = entry.loadPermille(target.slots, nowMillis, settings) / FULL_PERMILLE
         val latency = maxOf(entry.latencyMicros(nowMillis, settings), settings.minLatencyMicros.toDouble())
         return latency * (1 + load * load * load) / weight(entry, nowMillis)
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/TargetStats.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/TargetStats.kt
@@ -24,6 +24,10 @@
     @Volatile
     private var waitingSinceMillis = firstSeenMillis
 
+    /** Latest estimate of the owner and the time of its arrival, or null. */
+    @Volatile
+    private var ownerEstimate: Pair<ResponseTimeEstimate, Long>? = null
+
     @Volatile
     private var latencyMicros = 0.0
 
@@ -97,6 +101,34 @@
         return maxOf(own, loadPermille * decay(nowMillis, settings))
     }
 
+    fun observeEstimate(
+        estimate: ResponseTimeEstimate,
+        nowMillis: Long,
+    ) {
+        ownerEstimate = estimate to nowMillis
+    }
+
+    /**
+     * Returns the response time that follows from the owner's latest estimate, or null if there is none. As the estimate
+     * grows old, the wait loses its weight and the service time approaches the usual one. A new call waits at least for
+     * this node's calls in flight beyond [slots].
+     */
+    fun ownerEstimateMicros(
+        slots: Int,
+        nowMillis: Long,
+        settings: PickerSettings,
+    ): Double? {
+        val (estimate, arrivalMillis) = ownerEstimate ?: return null
+        val age = (nowMillis - arrivalMillis).coerceAtLeast(0)
+        val weight = ResponseTimeEstimator.halved(age, ResponseTimeEstimator.WORK_DURATION_HALF_LIFE_MILLIS)
+        val usual = estimate.usualServiceMicros
+        val service = usual + (estimate.serviceMicros - usual) * weight
+        // Load above the slots is in the wait. Below, calls that arrive unevenly still wait for one another.
+        val load = (loadPermille(slots, nowMillis, settings) / FULL_PERMILLE).coerceAtMost(1.0)
+        val ownWait = (inFlight.get() + 1 - slots).coerceAtLeast(0) * service / slots.coerceAtLeast(1)
+        return maxOf(estimate.waitMicros * weight, ownWait) + service * (1 + load * load * load)
+    }
+
     private fun decay(
         nowMillis: Long,
         settings: PickerSettings,
