Send the estimate of a target's response time to entry nodes

Targets that share their VMs state in the fourth figure of their load how long work takes at the moment. Their owners send an estimate with each response and refusal (x-baobabhollow-estimate), and the gauge target_work_duration_percent shows the figure. Without the figure nothing is measured or sent. The header is removed from responses to callers and is not part of stored responses.

--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -90,13 +90,9 @@
     init {
         metrics.gauge("ready", "1 if the node lacks nothing to take calls") { 1 - minOf(1, snapshot().lacking.size) }
         metrics.gauge("calls_in_flight", "Calls in flight on both ports") { proxy?.inFlight ?: 0 }
-        val loadHelp = "Load of the own target in permille of its slots"
-        metrics.gauge("target_load_permille", loadHelp) { proxy?.loadPermille ?: 0 }
+        metrics.target { proxy }
         metrics.gauge("held_bytes", "Memory that calls and connections hold, in bytes") { proxy?.heldBytes ?: 0L }
         metrics.gauge("open_connections", "Open connections of callers and entry nodes") { proxy?.openConnections ?: 0 }
-        metrics.gauge("target_cold", "1 while the own target is believed to be cold") {
-            if (proxy?.coldPerSecond == null) 0 else 1
-        }
         logClaims?.let { metrics.claims(it.counters) }
         quotas?.let(metrics::quotas)
     }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallFailure.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallFailure.kt
@@ -2,6 +2,7 @@
 
 import dev.baobabhollow.calls.CallHealth
 import dev.baobabhollow.calls.Refusal
+import dev.baobabhollow.calls.ResponseTimeEstimate
 import io.netty.handler.codec.http.HttpResponseStatus
 
 /** Whether a target may have executed a failed call. */
@@ -70,6 +71,7 @@
     val reason: FailureReason,
     val retryAfterMillis: Long? = null,
     val loadPermille: Int? = null,
+    val estimate: ResponseTimeEstimate? = null,
 ) {
     /** Returns this failure with an unknown outcome, for a call of which another attempt may have been executed. */
     fun mayHaveRun(): CallFailure {
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallProtocol.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/CallProtocol.kt
@@ -25,12 +25,15 @@
 /**
  * Call metadata from the head of a target's response. [callId] is null if the target does not echo one. A response that
  * is not [isWellFormed] lacks headers that every target sets and has probably been corrupted on the way.
+ * [workDurationPercent] is the percentage of its usual time that work takes at the target at the moment, or null if the
+ * target does not state it.
  */
 data class ResponseMetadata(
     val callId: String?,
     val isNotRun: Boolean = false,
     val isMisdirected: Boolean = false,
     val isWellFormed: Boolean = true,
+    val workDurationPercent: Int? = null,
 )
 
 /** Converts between the headers of callers and targets and the metadata that nodes act on. Thread-safe. */
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ClaimedKey.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ClaimedKey.kt
@@ -19,7 +19,11 @@
 
     fun onHead(head: HttpResponse) {
         status = head.status().code()
-        headers = head.headers().filter { !it.key.equals(MeshHeaders.CALL.toString(), true) }.map { it.key to it.value }
+        headers =
+            head
+                .headers()
+                .filter { field -> NOT_STORED.none { it.contentEqualsIgnoreCase(field.key) } }
+                .map { it.key to it.value }
     }
 
     fun onBody(content: HttpContent) {
@@ -42,4 +46,9 @@
         isReported = true
         action()
     }
+
+    private companion object {
+        /** A stored response may be sent much later: for another call, and while its estimate no longer holds. */
+        val NOT_STORED = listOf(MeshHeaders.CALL, MeshHeaders.ESTIMATE)
+    }
 }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
@@ -3,6 +3,7 @@
 import dev.baobabhollow.calls.CallHealth
 import dev.baobabhollow.calls.CallProfile
 import dev.baobabhollow.calls.ReleaseTargets
+import dev.baobabhollow.calls.ResponseTimeEstimate
 import dev.baobabhollow.calls.Route
 import dev.baobabhollow.calls.TargetEndpoint
 import dev.baobabhollow.model.NodeId
@@ -66,6 +67,7 @@
     private var responseStatus = HttpResponseStatus.OK
     private var responseBytes = 0L
     private var loadPermille: Int? = null
+    private var estimate: ResponseTimeEstimate? = null
 
     /** Shortest time in milliseconds until a cold target that refused the call has capacity. */
     private var coldRetryMillis: Long? = null
@@ -94,6 +96,7 @@
         tried.add(chosen.node)
         target = chosen
         loadPermille = null
+        estimate = null
         attemptMicros = node.nowMicros()
         node.picker.started(chosen, node.nowMillis())
         val callId = callerCallId ?: node.newCallId()
@@ -169,6 +172,7 @@
         val outcome = headers.get(MeshHeaders.OUTCOME)
         loadPermille = headers.getInt(MeshHeaders.LOAD)
         headers.remove(MeshHeaders.LOAD)
+        estimate = headers.takeEstimate()
         headers.remove(MeshHeaders.CALL)
         if (outcome != null) return onGeneratedError(head, outcome)
         val code = head.status().code()
@@ -210,6 +214,7 @@
     private fun onAttemptFailure(failure: CallFailure) {
         if (failure.outcome == CallOutcome.UNKNOWN) hasEarlierRun = true
         failure.loadPermille?.let { loadPermille = it }
+        failure.estimate?.let { estimate = it }
         val reachedTarget = failure.outcome == CallOutcome.UNKNOWN || failure.reason == FailureReason.TARGET_REFUSED
         if (reachedTarget) attemptsAtTargets++
         if (failure.reason == FailureReason.COLD_TARGET) onColdTarget(failure.retryAfterMillis ?: 0)
@@ -223,6 +228,7 @@
         fail(
             failure.copy(
                 loadPermille = null,
+                estimate = null,
                 retryAfterMillis = if (isCold) coldRetryMillis else failure.retryAfterMillis,
             ),
         )
@@ -272,7 +278,7 @@
         target = null
         val now = node.nowMillis()
         val micros = if (isMeasured) node.nowMicros() - attemptMicros else null
-        node.picker.finished(used, micros, loadPermille, now)
+        node.picker.finished(used, micros, loadPermille, now, estimate)
         node.outliers.record(used, health, route.service.targets, now)
     }
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/Headers.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/Headers.kt
@@ -33,6 +33,12 @@
     /** Load of a target in permille of its slots, sent between nodes only. */
     val LOAD: AsciiString = AsciiString.cached("x-baobabhollow-load")
 
+    /**
+     * Expected wait, service time and usual service time of a new call at a target in microseconds, sent between nodes
+     * only.
+     */
+    val ESTIMATE: AsciiString = AsciiString.cached("x-baobabhollow-estimate")
+
     /** Remaining time of a call in milliseconds, sent between nodes, whose clocks differ. */
     val TIME_LEFT: AsciiString = AsciiString.cached("x-baobabhollow-time-left")
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
@@ -4,6 +4,7 @@
 import dev.baobabhollow.calls.CallAgeEstimator
 import dev.baobabhollow.calls.ColdTargetLimiter
 import dev.baobabhollow.calls.OutlierDetector
+import dev.baobabhollow.calls.Refusal
 import dev.baobabhollow.calls.ResponseSizeEstimator
 import dev.baobabhollow.calls.RetryBudgets
 import dev.baobabhollow.calls.Route
@@ -56,6 +57,7 @@
         settings.coldTargets?.takeIf { targetEndpoint != null }?.let { ColdTargetLimiter(it, nowMillis()) }
     val coldGuard = coldLimiter?.let { ColdTargetGuard(this, it) }
     val admission = Admission(settings.admission, self.target?.slots ?: 1, coldLimiter)
+    val targetEstimate = TargetEstimate(this)
     val outliers = OutlierDetector(settings.outliers)
     val budgets = RetryBudgets(settings.retries)
     val callAgeEstimator = CallAgeEstimator()
@@ -142,6 +144,16 @@
     fun startupRefusal(reason: FailureReason) =
         CallFailure.notRun(reason).copy(retryAfterMillis = settings.notReadyRetryAfterMillis)
 
+    /** Returns the failure of a call that [admission] has refused, with the state of the local target. */
+    fun failureOf(refusal: Refusal): CallFailure {
+        val coldMillis = if (refusal == Refusal.COLD_TARGET) coldGuard?.retryAfterMillis() else null
+        return CallFailure.of(refusal).copy(
+            retryAfterMillis = coldMillis ?: admission.estimatedWaitMillis(),
+            loadPermille = admission.loadPermille,
+            estimate = targetEstimate.current(),
+        )
+    }
+
     fun update(self: NodeRecord) {
         this.self = self
         val target = self.target ?: return admission.drain()
@@ -159,6 +171,7 @@
         budgets.nodes = table.nodes.size
         callAgeEstimator.retain(table.routeIds)
         responseSizes.retain(table.routeIds)
+        targetEstimate.retain(table.routeIds)
     }
 
     fun close(drainUntilMillis: Long) {
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyServer.kt
@@ -92,6 +92,9 @@
     /** Requests a second that the local target gets at most while it is believed to be cold, otherwise null. */
     val coldPerSecond: Double? get() = node.coldGuard?.coldPerSecond
 
+    /** Percentage of its usual time that work takes at the local target, as it stated last, or null. */
+    val workDurationPercent: Int? get() = node.targetEstimate.workDurationPercent
+
     /** Drops the statistics of targets and services that are not in [table]. Call it after a change of the table. */
     fun forgetAbsent(table: RoutingTable) = node.forgetAbsent(table)
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/Responses.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/Responses.kt
@@ -32,6 +32,7 @@
         head.headers().set(HttpHeaderNames.WWW_AUTHENTICATE, "Bearer")
     }
     failure.loadPermille?.let { head.headers().set(MeshHeaders.LOAD, it) }
+    failure.estimate?.let(head.headers()::setEstimate)
     failure.retryAfterMillis?.let { head.headers().set(MeshHeaders.ROOM_IN, it) }
     protocol.writeFailure(head, callId, failure.outcome == CallOutcome.NOT_RUN, failure.retryAfterMillis)
     return head
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
@@ -110,17 +110,17 @@
         )
     }
 
-    private fun tenantPriority(): Int? = tenant?.let { node.tables().tenants.configs[it]?.priority }
+    private fun tenantPriority(): Int? =
+        tenant?.let {
+            node
+                .tables()
+                .tenants.configs[it]
+                ?.priority
+        }
 
     private fun onDecided(refusal: Refusal?) {
         if (isEnded) return
-        if (refusal != null) {
-            val coldMillis = if (refusal == Refusal.COLD_TARGET) node.coldGuard?.retryAfterMillis() else null
-            val retryAfter = coldMillis ?: node.admission.estimatedWaitMillis()
-            return finish(
-                CallFailure.of(refusal).copy(retryAfterMillis = retryAfter, loadPermille = node.admission.loadPermille),
-            )
-        }
+        if (refusal != null) return finish(node.failureOf(refusal))
         isSlotHeld = true
         startLoadPermille = node.admission.loadPermille
         val text = head?.headers()?.get(MeshHeaders.KEY)
@@ -239,6 +239,7 @@
     override fun onResponseHead(head: HttpResponse) {
         val code = head.status().code()
         val metadata = checkNotNull(upstream).responseMetadata
+        node.targetEstimate.onMetadata(metadata)
         if (metadata.isNotRun) return onTargetRefusal(metadata)
         result = resultOf(code)
         if (!HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head)) {
@@ -250,6 +251,7 @@
         head.headers().set(MeshHeaders.LOAD, node.admission.loadPermille)
         head.headers().set(MeshHeaders.CALL, callId)
         head.headers().removeHopByHop()
+        head.headers().setEstimate(node.targetEstimate.current())
         key?.onHead(head)
         if (!isDetached) listener.onResponseHead(head)
     }
@@ -262,7 +264,7 @@
         val reason = if (metadata.isMisdirected) FailureReason.WRONG_TARGET else FailureReason.TARGET_REFUSED
         val wasDetached = isDetached
         isDetached = true
-        val failure = CallFailure.notRun(reason)
+        val failure = CallFailure.notRun(reason).copy(estimate = node.targetEstimate.current())
         node.logRefusal(callId, route, failure, deadlineMillis - node.nowMillis())
         upstream?.abandon()
         if (!wasDetached) listener.onFailure(failure)
@@ -312,7 +314,10 @@
         if (!isDetached) listener.onFailure(failure)
     }
 
-    override fun onReleased() = freeSlot(isMeasured = result != null)
+    override fun onReleased() {
+        if (result == TargetResult.SUCCESS) node.targetEstimate.onServed(route.id, node.nowMicros() - startMicros)
+        freeSlot(isMeasured = result != null)
+    }
 
     private fun record(result: TargetResult) {
         node.recorder.recordTarget(route, release, result, node.nowMicros() - startMicros)
