--- a/calls/src/main/kotlin/dev/baobabhollow/calls/TargetStats.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/TargetStats.kt
@@ -126,7 +126,9 @@
         // Load above the slots is in the wait. Below, calls that arrive unevenly still wait for one another.
         val load = (loadPermille(slots, nowMillis, settings) / FULL_PERMILLE).coerceAtMost(1.0)
         val ownWait = (inFlight.get() + 1 - slots).coerceAtLeast(0) * service / slots.coerceAtLeast(1)
-        return maxOf(estimate.waitMicros * weight, ownWait) + service * (1 + load * load * load)
+        // A queue that a slow phase has left outlasts it, so the wait keeps its weight for as long as reported load does.
+        val wait = estimate.waitMicros * ResponseTimeEstimator.halved(age, settings.observationHalfLifeMillis)
+        return maxOf(wait, ownWait) + service * (1 + load * load * load)
     }
 
     private fun decay(
