Decide in each entry node which share of calls leaves the failure domain

Each call decided alone whether it leaves, so domains with room exchanged calls, and with too few targets everywhere the calls of all domains crossed. DomainOverflow decides a share for each service, release and class of calls per interval, if PickerSettings.leaving is set.

--- a/calls/src/main/kotlin/dev/baobabhollow/calls/CallSettings.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/CallSettings.kt
@@ -32,6 +32,8 @@
     val minSilenceMillis: Long = 500,
     /** That time as a multiple of the target's average latency. About 1 % of calls take three times as long as most. */
     val silenceLatencies: Int = 4,
+    /** Weights of the decision how many calls leave the failure domain, or null to decide for each call alone. */
+    val leaving: LeavingSettings? = null,
 )
 
 /** Policies for selecting a target. */
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/TargetPicker.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/TargetPicker.kt
@@ -3,16 +3,6 @@
 import dev.baobabhollow.model.NodeId
 import kotlin.random.Random
 
-/**
- * Properties of a call that determine its latency penalty for a target in another failure domain. The penalty grows
- * with [transferBytes], the length of the request body and the expected one of the response, and with
- * [objectiveMillis], the call's latency objective, or zero if there is none.
- */
-data class CallProfile(
-    val transferBytes: Long = 0,
-    val objectiveMillis: Long = 0,
-)
-
 /**
  * Load balancer of an entry node. With [SelectionPolicy.LOCAL_FIRST] it selects the better of two random targets by
  * calls in flight, latency and reported load, first in the node's own failure domain. Thread-safe.
@@ -26,11 +16,13 @@
     private val ownFreeSlots: () -> Int,
 ) {
     private val stats = TargetStatsMap()
+    private val overflow = settings.leaving?.let { DomainOverflow(it) }
 
     /**
      * Returns one of [targets] whose node is not in [tried], or null if there is none. If the selected target is
      * ejected and its probe call is due, this call becomes the probe. Ejected targets are used if there are no others.
-     * [profile] determines the penalty of targets in other failure domains.
+     * [profile] determines the penalty of targets in other failure domains. [onLeave] is called if the selected target
+     * is in another failure domain and [PickerSettings.leaving] is set.
      */
     fun pick(
         targets: ReleaseTargets,
@@ -38,9 +30,10 @@
         nowMillis: Long,
         random: Random,
         profile: CallProfile = CallProfile(),
+        onLeave: (LeavingReason) -> Unit = {},
     ): TargetEndpoint? {
         if (settings.selectionPolicy == SelectionPolicy.SHORTEST_WAIT) {
-            return shortestWait(targets, tried, nowMillis, random, remotePenaltyMicros(profile))
+            return shortestWait(targets, tried, nowMillis, random, profile, onLeave)
         }
         val own = ownTarget(targets, tried, nowMillis)
         if (own != null) return own
@@ -102,12 +95,33 @@
         tried: Set<NodeId>,
         nowMillis: Long,
         random: Random,
-        remotePenaltyMicros: Long,
+        profile: CallProfile,
+        onLeave: (LeavingReason) -> Unit,
     ): TargetEndpoint? {
         val untried = targets.all.filter { it.node !in tried }
         val usable =
             untried.filter { !it.isSuspect && outliers.isUsable(it.node, nowMillis) && !isSilent(it, nowMillis) }
         val candidates = usable.filterNot { isCold(it, nowMillis) }.ifEmpty { usable }.ifEmpty { untried }
+        if (overflow != null) {
+            val usableLocal = usable.filter(targets::isLocal)
+            val warmLocal = usableLocal.filterNot { isCold(it, nowMillis) }
+            if (warmLocal.isNotEmpty()) {
+                val share =
+                    overflow.share(warmLocal[0].service, targets.release, profile, nowMillis) {
+                        estimates(targets, nowMillis)
+                    }
+                val others = candidates.filter { it.failureDomain in share.domains }
+                val leaves = others.isNotEmpty() && random.nextDouble() * PERMILLE < share.permille
+                if (leaves) onLeave(LeavingReason.OVERLOAD)
+                return fastest(if (leaves) others else warmLocal, nowMillis, random)
+            }
+            val chosen = fastest(candidates, nowMillis, random) ?: return null
+            if (!targets.isLocal(chosen)) {
+                onLeave(if (usableLocal.isEmpty()) LeavingReason.NO_TARGET else LeavingReason.COLD)
+            }
+            return chosen
+        }
+        val remotePenaltyMicros = remotePenaltyMicros(profile)
         val compared =
             sample(candidates.filter(targets::isLocal), LOCAL_SAMPLE, random)
                 .plus(sample(candidates, GLOBAL_SAMPLE, random))
@@ -119,6 +133,38 @@
         return chosen?.let { withProbeClaimed(it, nowMillis) }
     }
 
+    private fun fastest(
+        candidates: List<TargetEndpoint>,
+        nowMillis: Long,
+        random: Random,
+    ): TargetEndpoint? =
+        sample(candidates, GLOBAL_SAMPLE, random)
+            .minByOrNull { expectedMicros(it, nowMillis) * (1 + random.nextDouble() * JITTER) }
+            ?.let { withProbeClaimed(it, nowMillis) }
+
+    /**
+     * Each domain's time is the harmonic mean, since faster targets get more of its calls. Load above the slots does not
+     * count, since the latencies seen contain the wait: otherwise uploads leave for momentary queues.
+     */
+    private fun estimates(
+        targets: ReleaseTargets,
+        nowMillis: Long,
+    ): DomainEstimates {
+        val byDomain =
+            targets.all
+                .filter { !it.isSuspect && outliers.isUsable(it.node, nowMillis) && !isSilent(it, nowMillis) }
+                .filterNot { isCold(it, nowMillis) }
+                .groupBy { it.failureDomain }
+                .mapValues { (_, all) ->
+                    DomainEstimate(
+                        all.size / all.sumOf { 1 / expectedMicros(it, nowMillis, maxLoad = 1.0) },
+                        all.sumOf { stats.of(it, nowMillis).loadPermille(it.slots, nowMillis, settings) } / all.size,
+                    )
+                }
+        val own = targets.local.firstOrNull()?.failureDomain
+        return DomainEstimates(byDomain[own], byDomain.filterKeys { it != own })
+    }
+
     private fun isCold(
         target: TargetEndpoint,
         nowMillis: Long,
@@ -153,9 +199,10 @@
     private fun expectedMicros(
         target: TargetEndpoint,
         nowMillis: Long,
+        maxLoad: Double = Double.MAX_VALUE,
     ): Double {
         val entry = stats.of(target, nowMillis)
-        val load = entry.loadPermille(target.slots, nowMillis, settings) / FULL_PERMILLE
+        val load = minOf(maxLoad, entry.loadPermille(target.slots, nowMillis, settings) / FULL_PERMILLE)
         val latency = maxOf(entry.latencyMicros(nowMillis, settings), settings.minLatencyMicros.toDouble())
         return latency * (1 + load * load * load) / weight(entry, nowMillis)
     }
