Add the setting for leaving the failure domain, and count what leaves

The weights of the decision had no settings, and nothing showed how many calls and bytes leave. The object 'leaving' (null: off) is checked by validate; counters hold attempts and expected bytes by reason.

--- a/node/src/main/kotlin/dev/baobabhollow/node/NodeSettings.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/NodeSettings.kt
@@ -14,7 +14,8 @@
  * [seeds] are control endpoints of other nodes; [platformLog] is the endpoint of the platform log. Without a [target]
  * or an [announcedTarget] the node only forwards calls to other nodes. [platform] selects the protocols of the log, of
  * callers and of targets; [readiness] is the endpoint of the platform's readiness probe. [members] overrides values of
- * the members' move policies. Without [quotas], the limits of tenants are not enforced. [faultInjection] enables `POST /faults` at the operator port.
+ * the members' move policies. Without [quotas], the limits of tenants are not enforced.
+ * Without [leaving], each call decides alone whether it leaves the failure domain. [faultInjection] enables `POST /faults` at the operator port.
  */
 @Serializable
 data class NodeSettings(
@@ -33,6 +34,7 @@
     val retries: RetrySettings? = null,
     val quotas: QuotaLimitSettings? = null,
     val coldTargets: ColdTargetLimits? = null,
+    val leaving: LeavingWeights? = null,
 )
 
 /** Platform that a node can run on. */
@@ -92,6 +94,25 @@
     val slack: Double,
 )
 
+/**
+ * Weights of the decision how many calls leave the failure domain, made every [intervalMillis]. A call must save
+ * [transitMillis], the larger of [minSavedMillis] and [minSavedObjectiveShare] of its objective, and
+ * [millisPerKilobyte] for its bytes in both directions, in a domain whose targets hold less than [roomShare] of their
+ * slots. The share of calls changes by at most [maxStepShare] at a time, and not while the time saved is within
+ * [hysteresisShare] of the required one.
+ */
+@Serializable
+data class LeavingWeights(
+    val intervalMillis: Long = 300,
+    val transitMillis: Double = 3.0,
+    val minSavedMillis: Double = 10.0,
+    val minSavedObjectiveShare: Double = 0.1,
+    val millisPerKilobyte: Double = 4.5,
+    val roomShare: Double = 0.8,
+    val maxStepShare: Double = 0.1,
+    val hysteresisShare: Double = 0.25,
+)
+
 /**
  * Endpoints that a node listens on: [callers] for calls from clients, [peerCalls] for calls from other nodes,
  * [control] (UDP and TCP) for the control plane and [operator] for operators.
--- a/node/src/main/kotlin/dev/baobabhollow/node/PlatformTuning.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/PlatformTuning.kt
@@ -2,6 +2,7 @@
 
 import dev.baobabhollow.calls.AdmissionSettings
 import dev.baobabhollow.calls.ColdTargetSettings
+import dev.baobabhollow.calls.LeavingSettings
 import dev.baobabhollow.calls.OutlierSettings
 import dev.baobabhollow.calls.PickerSettings
 import dev.baobabhollow.calls.QuotaSettings
@@ -11,8 +12,11 @@
 import dev.baobabhollow.peers.ControlPlaneSettings
 import dev.baobabhollow.proxy.CallProtocol
 import dev.baobabhollow.proxy.ProxySettings
+import kotlin.math.roundToInt
+import kotlin.math.roundToLong
 
 private const val FULL_PERMILLE = 1_000
+private const val MICROS_PER_MILLI = 1_000
 
 /**
  * Part of the shared retry budget that the nodes use for one service. Nested calls of a retried call count as retries
@@ -62,6 +66,7 @@
                 selectionPolicy = SelectionPolicy.SHORTEST_WAIT,
                 slowStartMillis = 3_000,
                 slowStartPermille = 400,
+                leaving = settings.leaving?.let { leavingSettings(it) },
             ),
         outliers =
             OutlierSettings(
@@ -91,6 +96,18 @@
 internal fun quotaSettings(quotas: QuotaLimitSettings) =
     QuotaSettings(quotas.windowSeconds, quotas.overShare, quotas.slack, quotas.failureDomains)
 
+internal fun leavingSettings(weights: LeavingWeights) =
+    LeavingSettings(
+        intervalMillis = weights.intervalMillis,
+        transitMicros = (weights.transitMillis * MICROS_PER_MILLI).roundToLong(),
+        minSavedMicros = (weights.minSavedMillis * MICROS_PER_MILLI).roundToLong(),
+        minSavedObjectivePermille = (weights.minSavedObjectiveShare * FULL_PERMILLE).roundToLong(),
+        microsPerKilobyte = (weights.millisPerKilobyte * MICROS_PER_MILLI).roundToLong(),
+        roomPermille = (weights.roomShare * FULL_PERMILLE).roundToInt(),
+        maxStepPermille = (weights.maxStepShare * FULL_PERMILLE).roundToInt(),
+        hysteresisPermille = (weights.hysteresisShare * FULL_PERMILLE).roundToInt(),
+    )
+
 internal fun controlSettings(settings: NodeSettings): ControlPlaneSettings {
     val base = ControlPlaneSettings(seeds = settings.seeds)
     if (settings.platform == PlatformKind.OWN) return base
--- a/node/src/main/kotlin/dev/baobabhollow/node/SettingsValidation.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/SettingsValidation.kt
@@ -2,6 +2,9 @@
 
 import dev.baobabhollow.model.ConfigError
 
+/** Longer times than any call takes would keep all calls in their domain. */
+private const val MAX_LEAVING_MILLIS = 60_000.0
+private const val MIN_LEAVING_SHARE = 0.01
 private val IDENTIFIER = Regex("[a-z0-9][a-z0-9._-]{0,63}")
 
 /** Returns every error in the values of [settings]. Missing keys and wrong types are found earlier, by [checkShape]. */
@@ -17,6 +20,7 @@
         settings.retries?.let { addAll(retryErrors(it)) }
         settings.quotas?.let { addAll(quotaErrors(it)) }
         settings.coldTargets?.let { addAll(coldErrors(it)) }
+        settings.leaving?.let { addAll(leavingErrors(it)) }
     }
 
 private fun announcedErrors(settings: NodeSettings): List<ConfigError> =
@@ -55,6 +59,27 @@
         if (limits.slack < 0) add(ConfigError("$.coldTargets.slack", "${limits.slack}", "0 or more"))
     }
 
+private fun leavingErrors(weights: LeavingWeights): List<ConfigError> =
+    buildList {
+        addAll(atLeastOne("$.leaving.intervalMillis", weights.intervalMillis))
+        val ranges =
+            listOf(
+                Triple("transitMillis", weights.transitMillis, 0.0..MAX_LEAVING_MILLIS),
+                // The required saving is a divisor.
+                Triple("minSavedMillis", weights.minSavedMillis, 1.0..MAX_LEAVING_MILLIS),
+                Triple("minSavedObjectiveShare", weights.minSavedObjectiveShare, 0.0..1.0),
+                Triple("millisPerKilobyte", weights.millisPerKilobyte, 0.0..MAX_LEAVING_MILLIS),
+                Triple("roomShare", weights.roomShare, MIN_LEAVING_SHARE..1.0),
+                Triple("maxStepShare", weights.maxStepShare, MIN_LEAVING_SHARE..1.0),
+                Triple("hysteresisShare", weights.hysteresisShare, 0.0..1.0),
+            )
+        ranges.forEach { (name, value, range) ->
+            if (value !in range) {
+                add(ConfigError("$.leaving.$name", "$value", "${range.start} to ${range.endInclusive}"))
+            }
+        }
+    }
+
 private fun identifier(
     path: String,
     value: String,
--- a/node/src/test/kotlin/dev/baobabhollow/node/SettingsSpec.kt
+++ b/node/src/test/kotlin/dev/baobabhollow/node/SettingsSpec.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.unwrap
 import com.github.michaelbull.result.unwrapError
+import dev.baobabhollow.calls.LeavingSettings
 import dev.baobabhollow.model.ConfigError
 import dev.baobabhollow.model.Endpoint
 import io.kotest.core.spec.style.DescribeSpec
@@ -107,6 +108,23 @@
                     listOf("$.coldTargets.slack")
             }
 
+            // Guards against a changed selection in deployments that do not ask for it, and against weights with which the
+            // share of calls that leave never moves, swings or divides by zero.
+            it("accepts the weights for leaving the failure domain, has none by default and validates each") {
+                parseSettings(RENDERED_SETTINGS).unwrap().leaving shouldBe null
+                val some = RENDERED_SETTINGS.replace("\"limits\"", "\"leaving\":{\"transitMillis\":2.5},\"limits\"")
+                val weights = parseSettings(some).unwrap().leaving!!
+                weights shouldBe LeavingWeights(transitMillis = 2.5)
+                leavingSettings(LeavingWeights()) shouldBe LeavingSettings()
+                leavingSettings(weights).transitMicros shouldBe 2_500
+                val bad =
+                    "\"intervalMillis\":0,\"transitMillis\":-1,\"minSavedMillis\":0,\"minSavedObjectiveShare\":2," +
+                        "\"millisPerKilobyte\":-1,\"roomShare\":0,\"maxStepShare\":0,\"hysteresisShare\":-1"
+                val names = Regex("\"(\\w+)\"").findAll(bad).map { "$.leaving.${it.groupValues[1]}" }
+                val errors = parseSettings(some.replace("\"transitMillis\":2.5", bad)).unwrapError()
+                errors.map { it.path } shouldContainExactlyInAnyOrder names.toList()
+            }
+
             it("suggests the nearest known key for a misspelt one") {
                 val errors = parseSettings(GOOD.replace("\"seeds\"", "\"seds\"")).unwrapError()
                 errors shouldBe listOf(ConfigError("$.seds", "unknown key \"seds\"", "\"seeds\" or no such key"))
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/EntryExchange.kt
@@ -2,6 +2,7 @@
 
 import dev.baobabhollow.calls.CallHealth
 import dev.baobabhollow.calls.CallProfile
+import dev.baobabhollow.calls.LeavingReason
 import dev.baobabhollow.calls.ReleaseTargets
 import dev.baobabhollow.calls.Route
 import dev.baobabhollow.calls.TargetEndpoint
@@ -63,6 +64,7 @@
     private var attemptsAtTargets = 0
     private var tried: MutableSet<NodeId> = mutableSetOf()
     private var target: TargetEndpoint? = null
+    private var leavingReason: LeavingReason? = null
     private var responseStatus = HttpResponseStatus.OK
     private var responseBytes = 0L
     private var loadPermille: Int? = null
@@ -79,8 +81,11 @@
         if (first == null) fail(node.startupRefusal(FailureReason.NO_TARGET)) else send(first)
     }
 
-    private fun pick(): TargetEndpoint? =
-        node.picker.pick(targets, excluded(), node.nowMillis(), ThreadLocalRandom.current().asKotlinRandom(), profile)
+    private fun pick(): TargetEndpoint? {
+        leavingReason = null
+        val random = ThreadLocalRandom.current().asKotlinRandom()
+        return node.picker.pick(targets, excluded(), node.nowMillis(), random, profile) { leavingReason = it }
+    }
 
     /** The call may have started before the order to evacuate, with targets of an earlier table. */
     private fun excluded(): Set<NodeId> {
@@ -96,6 +101,7 @@
         loadPermille = null
         attemptMicros = node.nowMicros()
         node.picker.started(chosen, node.nowMillis())
+        leavingReason?.let { node.metrics.countLeft(it, profile.transferBytes) }
         val callId = callerCallId ?: node.newCallId()
         prepareHead(chosen, callId)
         val next = if (chosen.node == node.self.node) localAttempt(chosen, callId) else remoteAttempt(chosen, callId)
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyMetrics.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyMetrics.kt
@@ -1,5 +1,6 @@
 package dev.baobabhollow.proxy
 
+import dev.baobabhollow.calls.LeavingReason
 import dev.baobabhollow.model.TenantId
 import io.prometheus.metrics.core.datapoints.CounterDataPoint
 import io.prometheus.metrics.core.datapoints.DistributionDataPoint
@@ -40,12 +41,27 @@
             .name("baobabhollow_call_retries_total")
             .help("Attempts after the first one")
             .register(registry)
+    private val leftCalls =
+        Counter
+            .builder()
+            .name("baobabhollow_left_calls_total")
+            .help("Attempts sent to another failure domain by reason, if the settings have weights for leaving")
+            .labelNames("reason")
+            .register(registry)
+    private val leftBytes =
+        Counter
+            .builder()
+            .name("baobabhollow_left_bytes_total")
+            .help("Expected bytes of their bodies in both directions by reason")
+            .labelNames("reason")
+            .register(registry)
     private val tenantCalls =
         Counter
             .builder()
             .name("baobabhollow_tenant_calls_total")
-            .help("Calls at the entry node by tenant and status class of the answer, for the first $MAX_TENANTS tenants")
-            .labelNames("tenant", "status")
+            .help(
+                "Calls at the entry node by tenant and status class of the answer, for the first $MAX_TENANTS tenants",
+            ).labelNames("tenant", "status")
             .register(registry)
     private val tenantNames = BoundedNames(MAX_TENANTS, OTHER_TENANTS)
     private val callPoints = ConcurrentHashMap<String, Array<CounterDataPoint>>()
@@ -73,6 +89,14 @@
 
     internal fun countRetry() = retries.inc()
 
+    internal fun countLeft(
+        reason: LeavingReason,
+        bytes: Long,
+    ) {
+        leftCalls.labelValues(reason.text).inc()
+        leftBytes.labelValues(reason.text).inc(bytes.toDouble())
+    }
+
     private companion object {
         const val CLASSES = 5
         const val STATUSES_PER_CLASS = 100
