--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyMetrics.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/ProxyMetrics.kt
@@ -1,5 +1,6 @@
 package dev.baobabhollow.proxy
 
+import dev.baobabhollow.calls.LeavingReason
 import dev.baobabhollow.model.TenantId
 import io.prometheus.metrics.core.datapoints.CounterDataPoint
 import io.prometheus.metrics.core.datapoints.DistributionDataPoint
@@ -40,6 +41,20 @@
             .name("baobabhollow_call_retries_total")
             .help("Attempts after the first one")
             .register(registry)
+    private val leftCalls =
+        Counter
+            .builder()
+            .name("baobabhollow_left_calls_total")
+            .help("Attempts sent to another failure domain by reason, if the settings have weights for leaving")
+            .labelNames("reason")
+            .register(registry)
+    private val leftBytes =
+        Counter
+            .builder()
+            .name("baobabhollow_left_bytes_total")
+            .help("Expected bytes of their bodies in both directions by reason")
+            .labelNames("reason")
+            .register(registry)
     private val tenantCalls =
         Counter
             .builder()
@@ -74,6 +89,14 @@
 
     internal fun countRetry() = retries.inc()
 
+    internal fun countLeft(
+        reason: LeavingReason,
+        bytes: Long,
+    ) {
+        leftCalls.labelValues(reason.text).inc()
+        leftBytes.labelValues(reason.text).inc(bytes.toDouble())
+    }
+
     private companion object {
         const val CLASSES = 5
         const val STATUSES_PER_CLASS = 100
