Keep the evacuations of both replicas at one position of a later era

Cause: states that replicas merge after a change of era took the evacuated domains of the state that was received. Two replicas at one position that had kept different evacuations would have exchanged their states again and again.

Both keep all of them now. StoreEraSpec "keeps the evacuations of both replicas at one position" fails without the change, and StoreEraSpec and EvacuationSpec pass with it.

--- a/configuration/src/main/kotlin/dev/baobabhollow/configuration/StoreEra.kt
+++ b/configuration/src/main/kotlin/dev/baobabhollow/configuration/StoreEra.kt
@@ -1,6 +1,7 @@
 package dev.baobabhollow.configuration
 
 import dev.baobabhollow.model.ConfigurationState
+import dev.baobabhollow.model.FailureDomainId
 import dev.baobabhollow.model.LogPosition
 import dev.baobabhollow.model.MeshConfig
 import dev.baobabhollow.model.MoveOrder
@@ -8,6 +9,7 @@
 import dev.baobabhollow.model.NO_OFFSET
 import dev.baobabhollow.model.ReleaseId
 import dev.baobabhollow.model.ServiceId
+import dev.baobabhollow.model.logPosition
 import dev.baobabhollow.model.orderPosition
 
 /** Orders that a replica has held and replaced. Tells records of a copy of the log from those written after it. */
@@ -72,8 +74,8 @@
 
 /**
  * Returns this state, of the same or a later position as [held], with what [held] retains of earlier eras: the
- * configuration if its version is higher, and orders that this state lacks or for which it has an earlier record. Two
- * replicas that exchange their states at one position reach the same state.
+ * configuration if its version is higher, orders that this state lacks or for which it has an earlier record, and
+ * evacuations at one position. Two replicas that exchange their states at one position reach the same state.
  */
 internal fun ConfigurationState.withRetained(
     held: ConfigurationState,
@@ -89,12 +91,21 @@
             }
         starts = starts.withLower(held.era + 1, held.lowestNewOrder(laterOrders, replaced))
     }
-    val base = copy(eraStarts = starts)
+    val base = copy(eraStarts = starts, evacuatedDomains = evacuatedWith(held))
     val services = held.orders.filter { (service, order) -> base.newerOrder(service, order) == order }
     val merged = base.copy(orders = base.orders + services).inOrder()
     return if (merged.keepsMeshOf(held, meshHash)) merged.copy(version = held.version, mesh = held.mesh) else merged
 }
 
+/**
+ * Replicas at one position may differ in the evacuations that they have kept from earlier eras. Both then keep all of
+ * them, since an order may have been lost with the log and its end is written again.
+ */
+private fun ConfigurationState.evacuatedWith(held: ConfigurationState): Set<FailureDomainId> {
+    if (held.logPosition != logPosition) return evacuatedDomains
+    return (evacuatedDomains + held.evacuatedDomains).sortedBy { it.value }.toSet()
+}
+
 private class OrderInLog(
     val service: ServiceId,
     val release: ReleaseId,
--- a/configuration/src/test/kotlin/dev/baobabhollow/configuration/StoreEraSpec.kt
+++ b/configuration/src/test/kotlin/dev/baobabhollow/configuration/StoreEraSpec.kt
@@ -2,6 +2,8 @@
 
 import dev.baobabhollow.model.ConfigurationRecord
 import dev.baobabhollow.model.ConfigurationState
+import dev.baobabhollow.model.EvacuationRecord
+import dev.baobabhollow.model.FailureDomainId
 import dev.baobabhollow.model.LogEntry
 import dev.baobabhollow.model.LogPosition
 import dev.baobabhollow.model.MemberConfig
@@ -132,6 +134,17 @@
         }
 
         // Guards against replicas that pull from each other for ever, since equal states have different hashes.
+        // Guards against replicas that pull each other's state again and again, and against an evacuation that was
+        // acknowledged and is forgotten because the log has lost its record.
+        it("keeps the evacuations of both replicas at one position") {
+            val zones = listOf("a", "b").map { EvacuationRecord(FailureDomainId(it)) }
+            val replicas = zones.map { replicaOf(wholeLog(0, configuration(1), it), wholeLog(1, configuration(1))) }
+            replicas[0].offer(replicas[1].transfer())
+            replicas[1].offer(replicas[0].transfer())
+            replicas.forEach { it.state.evacuatedDomains shouldBe zones.map { zone -> zone.failureDomain }.toSet() }
+            replicas[0].contentHash shouldBe replicas[1].contentHash
+        }
+
         it("has one hash, whatever the order in which replicas learn of orders") {
             val other = { release: String -> order(release).copy(service = ServiceId("a")) }
             val records = RecordBatch(NO_OFFSET, entries(other("v1"), order("v1")), era = 1)
