--- a/calls/src/main/kotlin/dev/baobabhollow/calls/ResponseTimeEstimator.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/ResponseTimeEstimator.kt
@@ -5,8 +5,8 @@
 import kotlin.math.ln
 
 /**
- * Expected times of a new call at a target, in microseconds, as its owner estimates them. [serviceMicros] is expected at
- * the moment, [usualServiceMicros] on average over the slower and faster phases of the target.
+ * Expected times of a new call at a target, in microseconds, as its owner estimates them. [serviceMicros] is expected
+ * at the moment, [usualServiceMicros] on average over the slower and faster phases of the target.
  */
 data class ResponseTimeEstimate(
     val waitMicros: Long,
--- a/calls/src/main/kotlin/dev/baobabhollow/calls/TargetStats.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/TargetStats.kt
@@ -109,9 +109,9 @@
     }
 
     /**
-     * Returns the response time that follows from the owner's latest estimate, or null if there is none. As the estimate
-     * grows old, the wait loses its weight and the service time approaches the usual one. A new call waits at least for
-     * this node's calls in flight beyond [slots].
+     * Returns the response time that follows from the owner's latest estimate, or null if there is none. As the
+     * estimate grows old, the wait loses its weight and the service time approaches the usual one. A new call waits at
+     * least for this node's calls in flight beyond [slots].
      */
     fun ownerEstimateMicros(
         slots: Int,
@@ -126,7 +126,7 @@
         // Load above the slots is in the wait. Below, calls that arrive unevenly still wait for one another.
         val load = (loadPermille(slots, nowMillis, settings) / FULL_PERMILLE).coerceAtMost(1.0)
         val ownWait = (inFlight.get() + 1 - slots).coerceAtLeast(0) * service / slots.coerceAtLeast(1)
-        // A queue that a slow phase has left outlasts it, so the wait keeps its weight for as long as reported load does.
+        // A queue that a slow phase has left outlasts it, so the wait keeps its weight as long as reported load.
         val wait = estimate.waitMicros * ResponseTimeEstimator.halved(age, settings.observationHalfLifeMillis)
         return maxOf(wait, ownWait) + service * (1 + load * load * load)
     }
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetEstimate.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetEstimate.kt
@@ -5,7 +5,7 @@
 import dev.baobabhollow.model.RouteId
 import io.netty.handler.codec.http.HttpHeaders
 
-/** Estimate of the response time of the local target, which entry nodes get with responses and refusals. Thread-safe. */
+/** Estimate of the response time of the local target, sent to entry nodes with responses and refusals. Thread-safe. */
 internal class TargetEstimate(
     private val node: NodeCore,
 ) {
