Complete no move whose new release could not take over

Cause: judges end a move by time unless calls show a fault. Calls for a release without targets go to the old one, so a lost release shows none.

TakeoverGuard checks every decision to raise the share or to end a move: serving targets with half of the announced slots, and calls at the full share that succeeded. Otherwise the move rests, and is taken back near its deadline. A stage "done" that waited for the log is stored only while the latest decision is the same.

--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlane.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlane.kt
@@ -159,7 +159,7 @@
         isOrdered: Boolean,
     ): Boolean {
         if (!isOrdered) return coordinator.isWanted(record, state, heldMoves)
-        return state.moves[record.move]?.phase?.isFinal == false
+        return !coordinator.isObsolete(record, state)
     }
 
     /** Stores [stage], which the log has lost, under a condition that is obtained anew for each attempt. */
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/MoveCoordinator.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/MoveCoordinator.kt
@@ -15,6 +15,7 @@
 import dev.baobabhollow.model.OutcomeSummary
 import dev.baobabhollow.moves.MoveDecision
 import dev.baobabhollow.moves.MoveJudge
+import dev.baobabhollow.moves.TakeoverGuard
 import org.apache.logging.log4j.LogManager
 
 /**
@@ -47,6 +48,10 @@
     )
 
     private val judges = HashMap<MoveId, MoveJudge>()
+    private val guards = HashMap<MoveId, TakeoverGuard>()
+
+    /** Reasons for which guards delay moves, as last logged. */
+    private val delays = HashMap<MoveId, String>()
     private val heldMoves = LinkedHashMap<MoveId, HeldMove>()
     private val proposals = HashMap<MoveId, Proposal>()
     private val wantedStages = HashMap<MoveId, WantedStage>()
@@ -62,6 +67,10 @@
     var held: Set<MoveId> = emptySet()
         private set
 
+    /** Moves that are done by this node's latest decision. Read by any thread. */
+    @Volatile
+    private var finishing: Set<MoveId> = emptySet()
+
     /** Adds outcomes from this node or another one to the evidence. */
     fun observe(
         summary: OutcomeSummary,
@@ -69,6 +78,7 @@
     ) {
         val (id, move) = runningMoveOf(summary, state) ?: return
         judge(id, move).observe(summary)
+        guard(id).observe(summary, move)
     }
 
     /** Allows this node to take [move] back by its own judgement for a while, as its domain can't reach the leads. */
@@ -112,7 +122,9 @@
         nextDecisionMillis = nowMillis + settings.moveDecisionMillis
         state.moves.filterValues { !it.phase.isFinal }.forEach { (id, move) ->
             val rank = rankLeads(id, view).indexOfFirst { it.node == self.node }
-            if (id !in heldMoves) decide(id, move, rank, state, nowMillis)
+            val decision = if (id in heldMoves) null else decide(id, move, rank, state, view, nowMillis)
+            if (decision is MoveDecision.Finish && rank >= 0) finishing += id else finishing -= id
+            decision?.let { apply(it, id, move, rank, state, nowMillis) }
             heldMoves[id]?.let { proposeTakeBack(id, move, it, rank, nowMillis) }
         }
     }
@@ -147,19 +159,46 @@
     ): Boolean {
         val move = state.moves[record.move] ?: return false
         if (record.phase != MovePhase.TAKEN_BACK && record.move in held) return false
-        return move.stage == record.follows && !move.phase.isFinal
+        return move.stage == record.follows && !isObsolete(record, state)
+    }
+
+    /**
+     * Returns true if the stage that [record] proposes must not be stored any more. While it waited for the log, the move
+     * may have ended, or the new release may have failed.
+     */
+    fun isObsolete(
+        record: MoveStageRecord,
+        state: ConfigurationState,
+    ): Boolean {
+        val isOver = state.moves[record.move]?.phase?.isFinal ?: true
+        return isOver || (record.phase == MovePhase.DONE && record.move !in finishing)
     }
 
+    /** Returns the decision on [move], or null if this node does not decide on it. */
     private fun decide(
         id: MoveId,
         move: MoveState,
         rank: Int,
         state: ConfigurationState,
+        view: FleetView,
         nowMillis: Long,
-    ) {
+    ): MoveDecision? {
         val judgesLocally = (localJudgementUntilMillis[id] ?: 0) > nowMillis
-        if (rank < 0 && !judgesLocally) return
-        when (val decision = judge(id, move).decide(move, clock())) {
+        if (rank < 0 && !judgesLocally) return null
+        val judged = judge(id, move).decide(move, clock())
+        // Only leads raise shares, and a node in an isolated domain can't tell which targets serve.
+        return if (rank < 0) judged else checkTakeover(judged, id, move, state, view)
+    }
+
+    private fun apply(
+        decision: MoveDecision,
+        id: MoveId,
+        move: MoveState,
+        rank: Int,
+        state: ConfigurationState,
+        nowMillis: Long,
+    ) {
+        when (decision) {
             is MoveDecision.Hold -> {
                 wantedStages -= id
             }
@@ -185,6 +224,25 @@
         }
     }
 
+    private fun checkTakeover(
+        decision: MoveDecision,
+        id: MoveId,
+        move: MoveState,
+        state: ConfigurationState,
+        view: FleetView,
+    ): MoveDecision {
+        val plan = move.plan
+        val new = releaseSlots(plan.service, view, state.evacuatedDomains) { it.release == plan.to }
+        val old = releaseSlots(plan.service, view, emptySet()) { it.release != plan.to }
+        val checked = guard(id).check(decision, move, new, old, clock())
+        val reason = if (checked === decision) null else checked.reason
+        if (reason != delays[id]) {
+            LOG.info("event=move_delayed move={} stage={} reason={}", id, move.stage, reason ?: "none any more")
+            if (reason == null) delays -= id else delays[id] = reason
+        }
+        return checked
+    }
+
     /** Proposes [record] at once as the lead, or after the lead delay as the substitute. */
     private fun proposeByRank(
         record: MoveStageRecord,
@@ -225,14 +283,16 @@
         move: MoveState,
     ) = judges.getOrPut(id) { judgeFor(id, move) }
 
+    private fun guard(id: MoveId) = guards.getOrPut(id) { TakeoverGuard() }
+
     private fun dropFinished(
         state: ConfigurationState,
         nowMillis: Long,
     ) {
         val isRunning = { id: MoveId -> state.moves[id]?.phase?.isFinal == false }
-        judges.keys.removeIf { !isRunning(it) }
-        wantedStages.keys.removeIf { !isRunning(it) }
-        localJudgementUntilMillis.keys.removeIf { !isRunning(it) }
+        val byMove = listOf(judges, guards, delays, wantedStages, localJudgementUntilMillis)
+        byMove.forEach { map -> map.keys.removeIf { !isRunning(it) } }
+        if (!finishing.all(isRunning)) finishing = finishing.filterTo(HashSet(), isRunning)
         proposals.entries.removeIf { (id, proposal) -> !isRunning(id) || isSettled(proposal, state) }
         heldMoves.entries.removeIf { (id, heldMove) -> isFinished(id, heldMove, state, nowMillis) }
         if (heldMoves.size != held.size) held = heldMoves.keys.toSet()
--- a/peers/src/test/kotlin/dev/baobabhollow/peers/PausedLeadSpec.kt
+++ b/peers/src/test/kotlin/dev/baobabhollow/peers/PausedLeadSpec.kt
@@ -15,15 +15,17 @@
 import dev.baobabhollow.model.NodeStatus
 import dev.baobabhollow.model.ReleaseId
 import dev.baobabhollow.model.ServiceId
+import dev.baobabhollow.model.TargetRecord
 import dev.baobabhollow.moves.MoveDecision
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.shouldBe
 
 private val MOVE = MoveId("m-1")
+private val TARGET = TargetRecord(ServiceId("s"), ReleaseId("2"), slots = 4, connections = 8)
 private val SELF =
     Endpoint("127.0.0.1", 1).let { at ->
-        NodeRecord(NodeId("a-1"), FailureDomainId("a"), 1, NodeStatus.ALIVE, at, at, at, target = null)
+        NodeRecord(NodeId("a-1"), FailureDomainId("a"), 1, NodeStatus.ALIVE, at, at, at, TARGET)
     }
 private val PLAN = MovePlan(ServiceId("s"), ReleaseId("1"), ReleaseId("2"), 0, 60_000, 60_000)
 
--- a/peers/src/test/kotlin/dev/baobabhollow/peers/TestFleet.kt
+++ b/peers/src/test/kotlin/dev/baobabhollow/peers/TestFleet.kt
@@ -54,7 +54,7 @@
         val id = NodeId(name)
         val domain = FailureDomainId(name.substringBefore('-'))
         val own = endpoints.getValue(id)
-        val record = NodeRecord(id, domain, incarnation, NodeStatus.ALIVE, own, own, own, TARGET)
+        val record = NodeRecord(id, domain, incarnation, NodeStatus.ALIVE, own, own, own, targetOf(name))
         val registry = PrometheusRegistry()
         val node = TestNode(record, registry)
         val drops = { other: FailureDomainId -> other != domain && (other in cutFromPeers || domain in cutFromPeers) }
@@ -105,7 +105,12 @@
 
     companion object {
         const val HOST = "127.0.0.1"
-        val TARGET = TargetRecord(ServiceId("vitrina"), ReleaseId("7"), 12, 100)
+
+        /** Targets of nodes with even numbers have the new release, so that moves to it can proceed. */
+        private fun targetOf(name: String): TargetRecord {
+            val isNew = name.substringAfter('-').toIntOrNull()?.let { it % 2 == 0 } ?: false
+            return TargetRecord(ServiceId("vitrina"), ReleaseId(if (isNew) "8" else "7"), 12, 100)
+        }
 
         /** Short periods keep the tests fast. Their ratios are those of the defaults. */
         val SETTINGS =
