--- a/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
@@ -222,7 +222,7 @@
     val service: RoutedService,
     private val parts: List<WeightedService> = emptyList(),
 ) {
-    private val totalWeight = parts.sumOf { it.weight }
+    private val totalWeight = parts.sumOf { it.weight.toLong() }
 
     /**
      * Returns this route with the one service that gets a call with the random number [draw] in 0..1. A service that is
--- a/calls/src/test/kotlin/dev/baobabhollow/calls/AnnouncedReleaseRouterSpec.kt
+++ b/calls/src/test/kotlin/dev/baobabhollow/calls/AnnouncedReleaseRouterSpec.kt
@@ -121,6 +121,14 @@
                 route.to(ServiceId("else")) shouldBe null
             }
 
+            // Guards against a sum of weights that overflows, so that the first service gets all calls.
+            it("gives each service its share also if the weights are large") {
+                val split = listOf(SplitPart(VITRINA, Int.MAX_VALUE), SplitPart(PEDIDOS, Int.MAX_VALUE))
+                val routes = mapOf(RouteId("r") to RouteConfig(VITRINA, "/", split = split))
+                val route = compile(nodes, routes = routes).match("/x")!!
+                (0 until 1_000).count { route.forCall(it / 1_000.0).service.id == PEDIDOS } shouldBeInRange 499..501
+            }
+
             it("is left out when one of its services does not exist") {
                 val split = listOf(SplitPart(VITRINA, 90), SplitPart(ServiceId("absent"), 10))
                 val routes = mapOf(RouteId("r") to RouteConfig(VITRINA, "/", split = split))
