Remember at other nodes which target a restarted node has withdrawn

Cause: the leave is kept nowhere but in the killed process. The health path alone put a target into service, and confirmed late heartbeats, although it may be false either way. Other nodes could not help: a leave emptied the record, which was not urgent to spread and meant nothing to them.

A target that has left stays in its node's record as a draining one. Such records are spread at once, and the target is answered after that. Nodes remember the last withdrawal of each node and tell its next process, which then uses neither the health path nor single heartbeats of that target. A target that only its health path names is used for two heartbeats.

--- a/membership/src/main/kotlin/dev/baobabhollow/membership/Membership.kt
+++ b/membership/src/main/kotlin/dev/baobabhollow/membership/Membership.kt
@@ -2,6 +2,7 @@
 
 import dev.baobabhollow.model.Endpoint
 import dev.baobabhollow.model.NodeRecord
+import dev.baobabhollow.model.TargetRecord
 
 /**
  * SWIM membership: maintains the list of nodes and detects failed ones. Performs no I/O: calls return the messages to
@@ -29,6 +30,12 @@
     /** Returns a message that needs no response, to piggyback pending updates on data that is sent anyway. */
     fun gossipMessage(): MembershipMessage
 
+    /**
+     * Returns the target that an earlier process of this node has withdrawn, as another node remembers it, or null. Each
+     * memory is returned once.
+     */
+    fun takeEarlierWithdrawal(): TargetRecord?
+
     /** Applies [change] to this node's own record and raises its incarnation. */
     fun announce(change: (NodeRecord) -> NodeRecord)
 }
--- a/membership/src/main/kotlin/dev/baobabhollow/membership/MembershipState.kt
+++ b/membership/src/main/kotlin/dev/baobabhollow/membership/MembershipState.kt
@@ -17,6 +17,9 @@
     val updates = UpdateQueue(settings)
     val suspicions = Suspicions(settings)
     val urgent = UrgentUpdates()
+
+    /** Record of an earlier process of this node that withdrew its target, as another node remembers it. */
+    var earlierWithdrawal: NodeRecord? = null
     val selfId: NodeId = self.node
     val domain: FailureDomainId = self.failureDomain
 
@@ -28,6 +31,7 @@
 
     val domainSize: Int get() = nodesOf(domain).size
 
+    private val firstIncarnation = self.incarnation
     private var groupedRevision = -1L
     private var grouped: Map<FailureDomainId, List<NodeRecord>> = emptyMap()
 
@@ -89,7 +93,10 @@
         nowMillis: Long,
         shouldSpread: Boolean = true,
     ) {
-        if (record.node == selfId) return refute(record)
+        if (record.node == selfId) {
+            recordEarlier(record)
+            return refute(record)
+        }
         if (CompactRecord.of(record).maxBytes > settings.maxRecordBytes) return
         val before = table[record.node]
         if (!table.merge(record, nowMillis)) return
@@ -103,6 +110,14 @@
         }
     }
 
+    /** Keeps [record], an older one of this node, if it is of an earlier process that withdrew its target. */
+    private fun recordEarlier(record: NodeRecord) {
+        val own = self
+        // A clock that was set back gives a new process a lower incarnation.
+        val isEarlier = record.incarnation < firstIncarnation || record.incarnation > own.incarnation
+        if (isEarlier && record.target?.status == TargetStatus.DRAINING) earlierWithdrawal = record
+    }
+
     /**
      * Raises the own incarnation above the one others hold, which may be higher after a restart with a clock set back.
      */
--- a/membership/src/main/kotlin/dev/baobabhollow/membership/NodeTable.kt
+++ b/membership/src/main/kotlin/dev/baobabhollow/membership/NodeTable.kt
@@ -5,6 +5,7 @@
 import dev.baobabhollow.model.NodeId
 import dev.baobabhollow.model.NodeRecord
 import dev.baobabhollow.model.NodeStatus
+import dev.baobabhollow.model.TargetStatus
 
 /** Number of buckets into which a domain's records are split for reconciliation; a bit set of them fits a Long. */
 internal const val BUCKET_COUNT = 64
@@ -17,8 +18,17 @@
     private val self: NodeId,
     private val settings: MembershipSettings,
 ) {
+    private class Withdrawal(
+        val record: NodeRecord,
+    ) {
+        var remindersLeft = MAX_REMINDERS
+    }
+
     private val nodes = LinkedHashMap<NodeId, NodeRecord>()
     private val diedAtMillis = LinkedHashMap<NodeId, Long>()
+
+    /** Latest records in which nodes withdrew targets that they have not replaced since. */
+    private val withdrawals = HashMap<NodeId, Withdrawal>()
     private var cachedView: FleetView? = null
     private var cachedDigests: Map<FailureDomainId, IntArray>? = null
     private var revision = 0L
@@ -37,6 +47,7 @@
         if (known == null && nodes.size >= settings.maxNodes) return false
         if (known != null && !supersedes(record, known)) return false
         put(record)
+        rememberWithdrawal(record)
         if (record.status == NodeStatus.DEAD) rememberDead(record.node, nowMillis) else diedAtMillis -= record.node
         return true
     }
@@ -69,6 +80,29 @@
     ): List<NodeRecord> =
         nodes.values.filter { it.failureDomain == domain && mask and (1L shl bucketOf(it.node)) != 0L }
 
+    /**
+     * Returns the record in which an earlier process of [node] withdrew its target, if the latest record of the node shows
+     * that it doesn't know of that. Returns it only a few times, since the node may have good reasons.
+     */
+    fun takeForgottenWithdrawal(node: NodeId): NodeRecord? {
+        val withdrawal = withdrawals[node] ?: return null
+        val latest = nodes[node] ?: return null
+        val isForgotten = latest.incarnation > withdrawal.record.incarnation && !isDraining(latest)
+        if (!isForgotten || withdrawal.remindersLeft == 0) return null
+        withdrawal.remindersLeft--
+        return withdrawal.record
+    }
+
+    /** A node that has just started announces no target at first, and then perhaps the one that was withdrawn. */
+    private fun rememberWithdrawal(record: NodeRecord) {
+        val target = record.target
+        when {
+            target == null -> withdrawals[record.node]?.let { it.remindersLeft = MAX_REMINDERS }
+            isDraining(record) -> withdrawals[record.node] = Withdrawal(record)
+            target.instance != withdrawals[record.node]?.record?.target?.instance -> withdrawals -= record.node
+        }
+    }
+
     private fun rememberDead(
         node: NodeId,
         nowMillis: Long,
@@ -81,6 +115,7 @@
     private fun forget(node: NodeId) {
         diedAtMillis -= node
         nodes -= node
+        withdrawals -= node
         markChanged()
     }
 
@@ -102,6 +137,13 @@
         }
         return digests
     }
+
+    private companion object {
+        /** Datagrams may be lost, and the node may restart its target under the same name. */
+        const val MAX_REMINDERS = 4
+
+        fun isDraining(record: NodeRecord) = record.target?.status == TargetStatus.DRAINING
+    }
 }
 
 /** True if [record] is newer than [known]: by incarnation, then by status. */
--- a/membership/src/main/kotlin/dev/baobabhollow/membership/SwimMembership.kt
+++ b/membership/src/main/kotlin/dev/baobabhollow/membership/SwimMembership.kt
@@ -3,6 +3,7 @@
 import dev.baobabhollow.model.Endpoint
 import dev.baobabhollow.model.NodeRecord
 import dev.baobabhollow.model.NodeStatus
+import dev.baobabhollow.model.TargetRecord
 import java.util.random.RandomGenerator
 
 /** Returns a membership that knows only [self]. Uses [random] for all random choices. */
@@ -55,12 +56,19 @@
             is Digest -> reconciler.receive(message)
             is Buckets -> reconciler.receive(message)
             is Records -> reconciler.receive(message)
-        } + notifyDeclaredDead(message)
+        } + notifyDeclaredDead(message) + remindOfWithdrawal(message.sender)
     }
 
     override fun gossipMessage(): MembershipMessage = Gossip(state.senderRecord(), state.takeUpdates())
 
-    override fun announce(change: (NodeRecord) -> NodeRecord) = state.announce(change)
+    override fun takeEarlierWithdrawal(): TargetRecord? =
+        state.earlierWithdrawal?.target.also { state.earlierWithdrawal = null }
+
+    override fun announce(change: (NodeRecord) -> NodeRecord) {
+        state.announce(change)
+        // The target may get its acknowledgement as soon as other nodes know, and its node may then be killed.
+        if (isWithdrawn(state.self)) nextUrgentMillis = 0
+    }
 
     private fun advance(wallMillis: Long): Long {
         if (!clock.advance(wallMillis)) prober.cancelProbe()
@@ -89,6 +97,14 @@
         return listOf(OutgoingMessage(message.sender.endpoint, gossip))
     }
 
+    /** Returns a message that tells a restarted sender which target it withdrew before. */
+    private fun remindOfWithdrawal(sender: SenderRecord): List<OutgoingMessage> {
+        val withdrawal = state.table.takeForgottenWithdrawal(sender.node) ?: return emptyList()
+        return listOf(
+            OutgoingMessage(sender.endpoint, Gossip(state.senderRecord(), listOf(CompactRecord.of(withdrawal)))),
+        )
+    }
+
     private fun recordContact(nowMillis: Long) {
         val silence = nowMillis - lastHeardMillis
         if (silence >= settings.isolatedAfterMillis) state.suspicions.restart(nowMillis, state.domainSize)
--- a/membership/src/test/kotlin/dev/baobabhollow/membership/VirtualFleet.kt
+++ b/membership/src/test/kotlin/dev/baobabhollow/membership/VirtualFleet.kt
@@ -96,6 +96,9 @@
         contacts: List<Node>,
     ) = send(node, node.membership.join(contacts.map { it.record.controlEndpoint }, nowMillis))
 
+    /** Sends what [node] has to send at once, as the control thread does after a change. */
+    fun sendNow(node: Node) = send(node, node.membership.tick(nowMillis + node.clockOffsetMillis))
+
     /** Delivers [message] to [to] at once and sends the responses. */
     fun inject(
         to: Node,
--- a/node/src/main/kotlin/dev/baobabhollow/node/AnnouncedTarget.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/AnnouncedTarget.kt
@@ -68,7 +68,11 @@
  *
  * A node that has just started does not know which leave or drain its previous process acknowledged, so a heartbeat may
  * be late and older than that. A target that serves is therefore announced only once its health path confirms it, or
- * its heartbeats have continued for longer than the network delays one. Not thread-safe.
+ * its heartbeats have continued for longer than the network delays one.
+ *
+ * The health path may be wrong. So other nodes tell a restarted one which target it withdrew ([onEarlierWithdrawal]),
+ * and that target is not used again unless its heartbeats continue. A target that only its health path names is not used
+ * for longer than a heartbeat may be missing. Not thread-safe.
  */
 class AnnouncedTarget(
     private val endpoint: Endpoint,
@@ -85,8 +89,18 @@
     private var candidate: TargetHeartbeat? = null
     private var candidateSinceMillis = 0L
 
-    /** True once a heartbeat of a serving target was confirmed; the node knows all leaves and drains from then on. */
-    private var isConfirmed = false
+    /** Confirmed once a heartbeat of a serving target was; the node knows all leaves and drains from then on. */
+    private var confirmation = Confirmation.NONE
+    private val isConfirmed: Boolean get() = confirmation != Confirmation.NONE
+
+    /** Time of the first heartbeat of the start of [last]. */
+    private var lastSinceMillis = 0L
+
+    /** Name of a target that an earlier process of the node withdrew, and whose health path does not count. */
+    private var distrusted: String? = null
+
+    /** Record of a withdrawn target that no other one has replaced. */
+    private var withdrawn: TargetRecord? = null
 
     /**
      * Latest start of each target that has left. If the start is unknown, the time of the leave message is used.
@@ -103,6 +117,12 @@
             }
         }
 
+    /**
+     * What other nodes should know: the [record], or a target that has left as a draining one, so that they can remind a
+     * restarted node of it.
+     */
+    val announced: TargetRecord? get() = record ?: withdrawn
+
     /** True while the identity or the state of the target has to be probed. */
     val needsProbe: Boolean get() = !isConfirmed && (candidate != null || !hasAnnounced)
 
@@ -130,18 +150,40 @@
         target: DiscoveredTarget,
         nowMillis: Long,
     ): AnnouncementResult {
-        val next = candidate
-        if (!isConfirmed && next?.instance == target.instance) return confirm(next, nowMillis)
-        if (isConfirmed || hasAnnounced) return AnnouncementResult.IGNORED
+        val next = candidate?.takeIf { it.instance == target.instance && it.instance != distrusted }
+        if (!isConfirmed && next != null) return confirm(next, Confirmation.HEALTH_PATH, nowMillis)
+        if (isConfirmed || hasAnnounced || target.instance == distrusted) return AnnouncementResult.IGNORED
         val before = record
         discovered = target
         lastHeardMillis = nowMillis
         return if (record == before) AnnouncementResult.CONFIRMED else AnnouncementResult.CHANGED
     }
 
+    /**
+     * Processes the memory of another node that an earlier process of this one withdrew [target]. Heartbeats that have
+     * continued prove that the target has not left, or has started again.
+     */
+    fun onEarlierWithdrawal(target: TargetRecord): AnnouncementResult {
+        val name = target.instance ?: return AnnouncementResult.IGNORED
+        val isKnown = name in departedBornMillis || name == distrusted || last?.isDraining == true
+        val isReplaced = (last ?: candidate)?.let { it.instance != name } ?: false
+        if (confirmation == Confirmation.HEARTBEATS || isKnown || isReplaced) return AnnouncementResult.IGNORED
+        distrusted = name
+        if (discovered?.instance == name) discovered = null
+        last?.let {
+            candidate = it
+            candidateSinceMillis = lastSinceMillis
+        }
+        last = null
+        confirmation = Confirmation.NONE
+        withdrawn = target.copy(status = TargetStatus.DRAINING, coldPerSecond = null)
+        return AnnouncementResult.CHANGED
+    }
+
     /** Marks the target as down after too long a silence. Returns true if this call changed its status. */
     fun checkSilence(nowMillis: Long): Boolean {
-        if (record == null || isDown || nowMillis - lastHeardMillis <= silenceMillis) return false
+        val limitMillis = if (last == null) silenceMillis / DISCOVERED_SILENCE_DIVISOR else silenceMillis
+        if (record == null || isDown || nowMillis - lastHeardMillis <= limitMillis) return false
         isDown = true
         return true
     }
@@ -156,15 +198,19 @@
         if (candidate?.let { isSameStart(it, next) } != true) candidateSinceMillis = nowMillis
         candidate = next
         val isContinued = nowMillis - candidateSinceMillis >= silenceMillis
-        if (isContinued || discovered?.instance == next.instance) return confirm(next, nowMillis)
-        return AnnouncementResult.UNCONFIRMED
+        return when {
+            isContinued -> confirm(next, Confirmation.HEARTBEATS, nowMillis)
+            discovered?.instance == next.instance -> confirm(next, Confirmation.HEALTH_PATH, nowMillis)
+            else -> AnnouncementResult.UNCONFIRMED
+        }
     }
 
     private fun confirm(
         heartbeat: TargetHeartbeat,
+        by: Confirmation,
         nowMillis: Long,
     ): AnnouncementResult {
-        isConfirmed = true
+        confirmation = by
         return accept(heartbeat, nowMillis)
     }
 
@@ -173,9 +219,14 @@
         nowMillis: Long,
     ): AnnouncementResult {
         val before = record
+        val isContinued = last?.let { isSameStart(it, next) } ?: false
+        if (!isContinued) lastSinceMillis = candidate?.let { candidateSinceMillis } ?: nowMillis
+        if (isConfirmed && nowMillis - lastSinceMillis >= silenceMillis) confirmation = Confirmation.HEARTBEATS
         last = next
         candidate = null
         discovered = null
+        distrusted = null
+        withdrawn = null
         latestBornMillis = maxOf(latestBornMillis, next.bornMillis)
         lastHeardMillis = nowMillis
         isDown = false
@@ -205,12 +256,19 @@
         if (known == null && message.instance in departedBornMillis) return AnnouncementResult.CONFIRMED
         departedBornMillis[message.instance] = message.bornMillis ?: known?.bornMillis ?: nowMillis
         if (departedBornMillis.size > MAX_DEPARTED) departedBornMillis.remove(departedBornMillis.keys.first())
+        if (record == null || record?.instance == message.instance) withdrawn = withdrawnRecord(message.instance)
         if (last?.instance == message.instance) last = null
         if (candidate?.instance == message.instance) candidate = null
         if (discovered?.instance == message.instance) discovered = null
         return AnnouncementResult.CHANGED
     }
 
+    /** Returns a draining record of [instance], whose release and slots a restarted node may not know. */
+    private fun withdrawnRecord(instance: String): TargetRecord {
+        val known = record ?: recordOf(service, UNKNOWN_RELEASE, UNKNOWN_SLOTS, instance)
+        return known.copy(status = TargetStatus.DRAINING, coldPerSecond = null)
+    }
+
     private val status: TargetStatus
         get() =
             when {
@@ -219,7 +277,15 @@
                 else -> TargetStatus.SERVING
             }
 
+    private enum class Confirmation { NONE, HEALTH_PATH, HEARTBEATS }
+
     private companion object {
+        /** Slots of a target that has left without being known; no calls go to it. */
+        const val UNKNOWN_SLOTS = 1
+
+        /** Part of the usual silence for which a target that has sent no heartbeat is used: two of four heartbeats. */
+        const val DISCOVERED_SILENCE_DIVISOR = 2
+
         /** Connections allowed beyond the slots, for connections that are being closed. */
         const val SPARE_CONNECTIONS = 4
 
--- a/node/src/main/kotlin/dev/baobabhollow/node/AnnouncementHandler.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/AnnouncementHandler.kt
@@ -3,17 +3,20 @@
 import com.github.michaelbull.result.fold
 import dev.baobabhollow.model.TargetRecord
 import org.apache.logging.log4j.Level
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
 
 /**
- * Handles the announcements of the target on the node's VM. Calls [onChange] before it responds to the target, and
- * [onUnconfirmed] for each heartbeat that needs a confirmation by the target's health path. [onWarmUp] gets what
+ * Handles the announcements of the target on the node's VM. Calls [onChange] with the target and with what other nodes
+ * should know of it, and responds once that was sent to them, since this node may be killed right after the response.
+ * Calls [onUnconfirmed] for each heartbeat that needs a confirmation by the target's health path. [onWarmUp] gets what
  * heartbeats and health responses say of the target's warm-up, before [onChange].
  */
 internal class AnnouncementHandler(
     settings: AnnouncedTargetSettings,
     private val adapter: PlatformAdapter,
     private val nowMillis: () -> Long,
-    private val onChange: (TargetRecord?) -> Unit,
+    private val onChange: (target: TargetRecord?, announced: TargetRecord?) -> CompletableFuture<Unit>,
     private val onWarmUp: (bornMillis: Long?, leftMillis: Long?) -> Unit = { _, _ -> },
     private val onUnconfirmed: () -> Unit,
 ) {
@@ -32,12 +35,12 @@
     val needsProbe: Boolean get() = target.needsProbe
 
     /** Processes a message from a target and returns the response. */
-    fun handle(request: OperatorRequest): OperatorResponse =
+    fun handle(request: OperatorRequest): CompletableFuture<OperatorResponse> =
         adapter.readAnnouncement(request).fold(
-            success = { onMessage(it) },
+            success = { onMessage(it).thenApply { OperatorResponse(OK, "{}") } },
             failure = { reason ->
                 EventLog.write("announcement_unreadable", "reason" to reason, level = Level.WARN)
-                OperatorResponse(BAD_REQUEST, errorBody(reason))
+                CompletableFuture.completedFuture(OperatorResponse(BAD_REQUEST, errorBody(reason)))
             },
         )
 
@@ -47,10 +50,16 @@
         val result = target.onProbeResponse(discovered, nowMillis())
         if (result != AnnouncementResult.IGNORED) onWarmUp(null, discovered.warmUpLeftMillis)
         if (result != AnnouncementResult.CHANGED) return
-        onChange(target.record)
+        onChange(target.record, target.announced)
         EventLog.write("target_found", "target" to target.record)
     }
 
+    /** Processes the memory of another node that an earlier process of this one withdrew [earlier]. */
+    @Synchronized
+    fun onEarlierWithdrawal(earlier: TargetRecord) {
+        if (target.onEarlierWithdrawal(earlier) == AnnouncementResult.CHANGED) publishChange("withdrawn_before", null)
+    }
+
     /** Marks the target as down when it has been silent for too long. */
     @Synchronized
     fun checkSilence() {
@@ -62,22 +71,22 @@
     fun checkWarmth(coldPerSecond: Double?) {
         if (coldPerSecond == announcedColdPerSecond) return
         announcedColdPerSecond = coldPerSecond
-        onChange(target.record ?: return)
+        onChange(target.record ?: return, target.announced)
     }
 
     @Synchronized
-    private fun onMessage(message: TargetMessage): OperatorResponse {
+    private fun onMessage(message: TargetMessage): CompletableFuture<Unit> {
         val result = target.onMessage(message, nowMillis())
         if (message is TargetHeartbeat && result != AnnouncementResult.IGNORED) {
             onWarmUp(message.bornMillis, message.warmUpLeftMillis)
         }
         when (result) {
-            AnnouncementResult.CHANGED -> publishChange("announced", message)
+            AnnouncementResult.CHANGED -> return publishChange("announced", message)
             AnnouncementResult.IGNORED -> EventLog.write("announcement_ignored", "message" to message)
             AnnouncementResult.UNCONFIRMED -> onUnconfirmed(message)
             AnnouncementResult.CONFIRMED -> Unit
         }
-        return OperatorResponse(OK, "{}")
+        return CompletableFuture.completedFuture(Unit)
     }
 
     private fun onUnconfirmed(message: TargetMessage) {
@@ -88,12 +97,15 @@
     private fun publishChange(
         cause: String,
         message: TargetMessage?,
-    ) {
-        onChange(target.record)
+    ): CompletableFuture<Unit> {
+        val sent = onChange(target.record, target.announced)
         EventLog.write("target_changed", "cause" to cause, "target" to target.record, "message" to message)
+        return sent.completeOnTimeout(Unit, MAX_SENDING_MILLIS, TimeUnit.MILLISECONDS)
     }
 
     private companion object {
+        /** Below the second after which targets call another node. */
+        const val MAX_SENDING_MILLIS = 300L
         const val OK = 200
         const val BAD_REQUEST = 400
         const val MILLIS_PER_SECOND = 1_000.0
--- a/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
+++ b/node/src/main/kotlin/dev/baobabhollow/node/Node.kt
@@ -7,7 +7,6 @@
 import dev.baobabhollow.model.MonotonicClock
 import dev.baobabhollow.model.MoveId
 import dev.baobabhollow.model.NodeId
-import dev.baobabhollow.model.TargetRecord
 import dev.baobabhollow.model.WriterId
 import dev.baobabhollow.peers.ControlCallbacks
 import dev.baobabhollow.peers.ControlPlane
@@ -73,9 +72,10 @@
             operatorGroup,
             operatorRoutes(registry)::handle,
         )
+    private val publisher = TargetPublisher(self, control) { proxy }
     private val announcements =
         settings.announcedTarget?.let {
-            AnnouncementHandler(it, adapter, nowMillis, ::applyTarget, ::reportWarmUp, ::confirmTarget)
+            AnnouncementHandler(it, adapter, nowMillis, publisher::publish, ::reportWarmUp, ::confirmTarget)
         }
     private val targetDiscovery =
         announcements?.let {
@@ -191,7 +191,7 @@
             announcements?.let { handler ->
                 val endpoint = checkNotNull(settings.announcedTarget).announcements
                 OperatorServer(endpoint, MAX_ANNOUNCEMENT_BYTES, operatorGroup) { request ->
-                    CompletableFuture.completedFuture(handler.handle(request))
+                    handler.handle(request)
                 }
             }
         return listOfNotNull(readiness, targets)
@@ -204,17 +204,6 @@
 
     private fun liveNodes(): Set<NodeId> = control.view.live().mapTo(HashSet()) { it.node }
 
-    /** Updates the target at this node's proxy at once, and then announces it to the other nodes. */
-    private fun applyTarget(target: TargetRecord?) {
-        proxy?.update(self.copy(target = target))
-        if (!control.announceTarget(
-                target?.copy(coldPerSecond = proxy?.coldPerSecond),
-            )
-        ) {
-            EventLog.write("target_announcement_lost", level = Level.WARN)
-        }
-    }
-
     private fun reportWarmUp(
         born: Long?,
         leftMillis: Long?,
@@ -242,6 +231,7 @@
                     onChange = ::applyChange,
                     dropsControl = ::dropsControl,
                     onQuotaMessage = { message, from -> quotas?.receive(message, from) },
+                    onEarlierWithdrawal = { announcements?.onEarlierWithdrawal(it) },
                 ),
         )
 
--- a/node/src/test/kotlin/dev/baobabhollow/node/AnnouncedTargetSpec.kt
+++ b/node/src/test/kotlin/dev/baobabhollow/node/AnnouncedTargetSpec.kt
@@ -141,6 +141,98 @@
                 draining.record?.status shouldBe TargetStatus.DRAINING
             }
 
+            // Guards against a restarted node that believes the health path of a target whose leave or drain its earlier
+            // process acknowledged (review/9). Other nodes remember it; the health path and heartbeats may be false or late.
+            describe("that an earlier process withdrew, as other nodes remember") {
+                val memory = probedTarget().record!!.copy(status = TargetStatus.DRAINING)
+
+                fun AnnouncedTarget.remind(nowMillis: Long) = onEarlierWithdrawal(memory)
+
+                it("is not put into service by its health path") {
+                    val target = newTarget()
+                    target.remind(0) shouldBe AnnouncementResult.CHANGED
+                    target.onProbeResponse(DiscoveredTarget("i-1", 12), 10) shouldBe AnnouncementResult.IGNORED
+                    target.record shouldBe null
+                    target.announced shouldBe memory
+                }
+
+                it("is withdrawn again if its health path has named it before") {
+                    val target = probedTarget()
+                    target.remind(10) shouldBe AnnouncementResult.CHANGED
+                    target.record shouldBe null
+                    target.onProbeResponse(DiscoveredTarget("i-1", 12), 20) shouldBe AnnouncementResult.IGNORED
+                    target.remind(30) shouldBe AnnouncementResult.IGNORED
+                    target.announced shouldBe memory
+                }
+
+                it("is withdrawn again if its health path has confirmed a late heartbeat") {
+                    val target = probedTarget()
+                    target.onMessage(heartbeat(sequence = 5), 100) shouldBe AnnouncementResult.CHANGED
+                    target.onMessage(heartbeat(sequence = 6), 1_600) shouldBe AnnouncementResult.CONFIRMED
+                    target.remind(1_700) shouldBe AnnouncementResult.CHANGED
+                    target.record shouldBe null
+                    target.onMessage(heartbeat(sequence = 7), 3_100) shouldBe AnnouncementResult.UNCONFIRMED
+                    target.onProbeResponse(DiscoveredTarget("i-1", 12), 3_110) shouldBe AnnouncementResult.IGNORED
+                    target.record shouldBe null
+                }
+
+                it("is used again once its heartbeats continue, since it may have started again") {
+                    val target = probedTarget()
+                    target.onMessage(heartbeat(sequence = 1), 1_000)
+                    target.remind(1_100)
+                    target.onMessage(heartbeat(sequence = 2), 999 + SILENCE_MILLIS) shouldBe
+                        AnnouncementResult.UNCONFIRMED
+                    target.onMessage(heartbeat(sequence = 3), 1_000 + SILENCE_MILLIS) shouldBe
+                        AnnouncementResult.CHANGED
+                    target.announced?.status shouldBe TargetStatus.SERVING
+                    target.remind(2_000 + SILENCE_MILLIS) shouldBe AnnouncementResult.IGNORED
+                }
+
+                it("stays in use if its heartbeats have continued for longer than one is delayed") {
+                    val target = probedTarget()
+                    (0..4).forEach { target.onMessage(heartbeat(sequence = it + 1L), it * 1_500L) }
+                    target.remind(SILENCE_MILLIS + 10) shouldBe AnnouncementResult.IGNORED
+                    target.record?.status shouldBe TargetStatus.SERVING
+                }
+
+                it("does not stand for its successor, or for what this process was told itself") {
+                    val successor = probedTarget("i-2")
+                    successor.onMessage(heartbeat(instance = "i-2"), 10)
+                    successor.remind(20) shouldBe AnnouncementResult.IGNORED
+                    successor.record?.status shouldBe TargetStatus.SERVING
+                    val draining = newTarget()
+                    draining.onMessage(heartbeat(isDraining = true), 0)
+                    draining.remind(10) shouldBe AnnouncementResult.IGNORED
+                    val left = newTarget()
+                    left.onMessage(TargetLeave("i-1", null), 0)
+                    left.remind(10) shouldBe AnnouncementResult.IGNORED
+                }
+            }
+
+            // Guards against a restart after which nobody remembers a leave, since all nodes were killed.
+            it("is not used for long if only its health path names it") {
+                val target = probedTarget()
+                target.checkSilence(SILENCE_MILLIS / 2) shouldBe false
+                target.checkSilence(SILENCE_MILLIS / 2 + 1) shouldBe true
+                target.record?.status shouldBe TargetStatus.DOWN
+            }
+
+            // Guards against a leave that other nodes can't remember, since the record of its node became empty.
+            it("is announced as draining once it has left, until another one serves") {
+                val target = probedTarget()
+                target.onMessage(heartbeat(), 0)
+                target.onMessage(TargetLeave("i-1", null), 10)
+                target.record shouldBe null
+                target.announced?.instance shouldBe "i-1"
+                target.announced?.status shouldBe TargetStatus.DRAINING
+                target.onMessage(heartbeat(instance = "i-2", born = 200), 20)
+                target.announced shouldBe target.record
+                val unknown = newTarget()
+                unknown.onMessage(TargetLeave("i-1", null), 0)
+                unknown.announced?.instance shouldBe "i-1"
+                unknown.announced?.status shouldBe TargetStatus.DRAINING
+            }
+
             it("is not one at another address") {
                 val target = newTarget()
                 target.onMessage(heartbeat(endpoint = Endpoint("10.1.0.9", 8301)), 0) shouldBe
--- a/node/src/test/kotlin/dev/baobabhollow/node/TargetConfirmationSpec.kt
+++ b/node/src/test/kotlin/dev/baobabhollow/node/TargetConfirmationSpec.kt
@@ -15,6 +15,7 @@
 import io.netty.channel.nio.NioIoHandler
 import java.net.InetAddress
 import java.net.ServerSocket
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicReference
@@ -82,17 +83,21 @@
                     val announced = AtomicReference<TargetRecord>()
                     val discovery = AtomicReference<TargetDiscovery>()
                     val settings = AnnouncedTargetSettings(standIn.endpoint, SERVICE, standIn.endpoint)
+                    val publish = { target: TargetRecord?, _: TargetRecord? ->
+                        announced.set(target)
+                        CompletableFuture.completedFuture(Unit)
+                    }
                     val handler =
-                        AnnouncementHandler(settings, adapter, clock, announced::set) { discovery.get().probeSoon() }
+                        AnnouncementHandler(settings, adapter, clock, publish) { discovery.get().probeSoon() }
                     discovery.set(TargetDiscovery(standIn.endpoint, adapter, handler, clock, group))
                     val heartbeat = OperatorRequest("POST", "/", "")
-                    handler.handle(heartbeat).status shouldBe 200
+                    handler.handle(heartbeat).get().status shouldBe 200
                     announced.get() shouldBe null
                     discovery.get().start("/health")
-                    handler.handle(heartbeat).status shouldBe 200
+                    handler.handle(heartbeat).get().status shouldBe 200
                     continually(500.milliseconds) { announced.get() shouldBe null }
                     standIn.isHealthy.set(true)
-                    handler.handle(heartbeat).status shouldBe 200
+                    handler.handle(heartbeat).get().status shouldBe 200
                     eventually(5.seconds) { announced.get()?.instance shouldBe "i-1" }
                     adapter.close()
                     group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
--- a/node/src/test/kotlin/dev/baobabhollow/node/WarmUpAnnouncementSpec.kt
+++ b/node/src/test/kotlin/dev/baobabhollow/node/WarmUpAnnouncementSpec.kt
@@ -7,6 +7,7 @@
 import dev.baobabhollow.model.TargetRecord
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
+import java.util.concurrent.CompletableFuture
 
 private val ENDPOINT = Endpoint("127.0.0.1", 7_000)
 private val SERVICE = ServiceId("s")
@@ -26,7 +27,10 @@
                     AnnouncedTargetSettings(ENDPOINT, SERVICE, ENDPOINT),
                     adapter,
                     { 0 },
-                    records::add,
+                    { target, _ ->
+                        records += target
+                        CompletableFuture.completedFuture(Unit)
+                    },
                     { born, left -> reports += born to left },
                     {},
                 )
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlCore.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlCore.kt
@@ -13,6 +13,7 @@
 import dev.baobabhollow.model.NodeStatus
 import dev.baobabhollow.model.OrderedStage
 import dev.baobabhollow.model.OutcomeSummary
+import dev.baobabhollow.model.TargetRecord
 
 /** Dispatches events and ticks on the control thread. All times are monotonic milliseconds. */
 internal class ControlCore(
@@ -28,6 +29,7 @@
     private val logDuty: LogDuty,
     private val metrics: ControlMetrics,
     private val storeAgain: (OrderedStage) -> Unit,
+    private val onEarlierWithdrawal: (TargetRecord) -> Unit,
 ) {
     private var lastPeerMessageMillis: Long? = null
     private var startedMillis = 0L
@@ -82,7 +84,7 @@
             is ControlEvent.AppendFinished -> handleAppendFinished(event)
             is ControlEvent.StagesRead -> handleStages(event.stages)
             is ControlEvent.ContactsFound -> send(membership.join(event.endpoints, nowMillis))
-            is ControlEvent.SelfChanged -> changeSelf(event.change, nowMillis)
+            is ControlEvent.SelfChanged -> handleSelfChange(event, nowMillis)
             is ControlEvent.LeaveRequested -> leave(event, nowMillis)
         }
         announceRecords(nowMillis)
@@ -135,6 +137,7 @@
         if (sender.node == self.node || peerSender.isDroppedFrom(sender.failureDomain)) return
         lastPeerMessageMillis = nowMillis
         send(membership.receive(datagram.message, nowMillis))
+        membership.takeEarlierWithdrawal()?.let(onEarlierWithdrawal)
         dissemination.compare(datagram.position, sender.endpoint, nowMillis)
         val news = datagram.sentAtMillis?.let { sentAt -> datagram.stages.filter { orderedMoves.merge(it, sentAt) } }
         if (!news.isNullOrEmpty()) spread(emptyList(), news)
@@ -211,6 +214,14 @@
         logDuty.recordAppend(event.record)
     }
 
+    private fun handleSelfChange(
+        event: ControlEvent.SelfChanged,
+        nowMillis: Long,
+    ) {
+        changeSelf(event.change, nowMillis)
+        event.onSent()
+    }
+
     private fun changeSelf(
         change: (NodeRecord) -> NodeRecord,
         nowMillis: Long,
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlEvent.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlEvent.kt
@@ -79,7 +79,9 @@
         val done: CompletableFuture<Unit>,
     ) : ControlEvent
 
+    /** Change of this node's own record; [onSent] is called when it was sent to other nodes for the first time. */
     data class SelfChanged(
         val change: (NodeRecord) -> NodeRecord,
+        val onSent: () -> Unit,
     ) : ControlEvent
 }
--- a/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlane.kt
+++ b/peers/src/main/kotlin/dev/baobabhollow/peers/ControlPlane.kt
@@ -67,6 +67,7 @@
             logDuty = logDuty,
             metrics = metrics,
             storeAgain = ::storeAgain,
+            onEarlierWithdrawal = callbacks.onEarlierWithdrawal,
         )
     private val thread = ControlThread(settings, core, events, summaries, callbacks.onChange)
 
@@ -112,8 +113,14 @@
     fun announceTarget(status: TargetStatus): Boolean =
         changeSelf { record -> record.copy(target = record.target?.copy(status = status)) }
 
-    /** Announces [target] as the own target, or that there is none if it is null. */
-    fun announceTarget(target: TargetRecord?): Boolean = changeSelf { it.copy(target = target) }
+    /**
+     * Announces [target] as the own target, or that there is none if it is null. Calls [onSent] on the control thread when
+     * other nodes were told.
+     */
+    fun announceTarget(
+        target: TargetRecord?,
+        onSent: () -> Unit = { },
+    ): Boolean = changeSelf(onSent) { it.copy(target = target) }
 
     /** Joins the nodes at [endpoints], found by other means than the membership. Returns false if the ring is full. */
     fun join(endpoints: List<Endpoint>): Boolean = events.offer(ControlEvent.ContactsFound(endpoints))
@@ -140,7 +147,10 @@
         transport.close()
     }
 
-    private fun changeSelf(change: (NodeRecord) -> NodeRecord): Boolean = events.offer(ControlEvent.SelfChanged(change))
+    private fun changeSelf(
+        onSent: () -> Unit = { },
+        change: (NodeRecord) -> NodeRecord,
+    ): Boolean = events.offer(ControlEvent.SelfChanged(change, onSent))
 
     private fun post(event: ControlEvent) {
         events.offer(event)
