Read the bodies of waiting calls on, so that departures are noticed

A wait for a quota token stopped reading at once, a wait for a connection with the first bytes.

A call that was not sent yet reads on, up to 1 MiB, while calls hold less than a third of the memory that they may hold.

--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/HeldMemory.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/HeldMemory.kt
@@ -35,6 +35,13 @@
     /** True if a call may be accepted that has to hold up to [bodyBytes] of its body. */
     fun allowsCall(bodyBytes: Long): Boolean = if (bodyBytes == 0L) !isFull else hasRoomFor(bodyBytes)
 
+    /**
+     * True if a call that holds [heldBytes] of its body and was not sent yet may read on. A caller that disconnects is
+     * noticed only by reading, and must not be taken for one that waits.
+     */
+    fun allowsReadAhead(heldBytes: Int): Boolean =
+        heldBytes < MAX_READ_AHEAD_BYTES && bytes < limitBytes / COPIES_DIVISOR
+
     /** Adds [delta] bytes, which is negative when memory is released. */
     fun add(delta: Long) {
         if (delta != 0L) held.addAndGet(delta)
@@ -44,9 +51,15 @@
         /** A copy of this size takes as much as the objects of its call. */
         const val SMALL_COPY_BYTES = 2_048
 
-        /** Longer copies for retries may take a third, so that a burst of uploads still finds room to be forwarded. */
+        /**
+         * Longer copies for retries and bodies of waiting calls may take a third, so that a burst of uploads still finds
+         * room to be forwarded.
+         */
         const val COPIES_DIVISOR = 3
 
+        /** Most uploads are shorter. A longer one is read on only when it is sent. */
+        const val MAX_READ_AHEAD_BYTES = 1_048_576
+
         /** A quarter is reserved for calls without a body and for what the accepted calls still receive. */
         const val RESERVE_DIVISOR = 4
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/QuotaExchange.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/QuotaExchange.kt
@@ -10,7 +10,8 @@
 
 /**
  * A request that waits for a token of its tenant's quota, without blocking the event loop, and is then passed on to the
- * exchange that [forward] starts. While it waits, no more of its body is read, and what was read counts as held memory.
+ * exchange that [forward] starts. While it waits, its body is read so that a caller that disconnects is noticed, and
+ * what was read counts as held memory.
  */
 internal class QuotaExchange(
     private val node: NodeCore,
@@ -38,7 +39,8 @@
         }
     }
 
-    override val isWritable: Boolean get() = next?.isWritable ?: isDecided
+    override val isWritable: Boolean
+        get() = next?.isWritable ?: (isDecided || node.memory.allowsReadAhead(body.bytes))
 
     override fun onRequestBody(content: HttpContent) {
         val started = next
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
@@ -50,7 +50,9 @@
     override val mayHaveRun: Boolean get() = upstream?.mayHaveRun == true
 
     override val isWritable: Boolean
-        get() = upstream?.isWritable ?: (pending.bytes < node.settings.bodyBufferBytes)
+        get() = upstream?.isWritable ?: (pending.bytes < node.settings.bodyBufferBytes || mayReadAhead)
+
+    private val mayReadAhead: Boolean get() = node.memory.allowsReadAhead(pending.bytes)
 
     override fun start(head: HttpRequest) {
         this.head = head
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/UpstreamCall.kt
@@ -39,7 +39,7 @@
     override val mayHaveRun: Boolean get() = headWrite?.isSuccess == true
 
     override val isWritable: Boolean
-        get() = connection?.isWritable ?: pending.isEmpty
+        get() = connection?.isWritable ?: (pending.isEmpty || pool.memory.allowsReadAhead(pending.bytes))
 
     override fun start(head: HttpRequest) {
         isEchoExpected = protocol.isCallIdEchoed(head.headers())
