Compare prefixes with paths whose escaped slashes are kept

Cause: all escapes were decoded before prefixes were compared. Now only those of unreserved characters are, in paths and prefixes alike; dot segments are still looked for in the decoded path.

--- a/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
+++ b/calls/src/main/kotlin/dev/baobabhollow/calls/RoutingTable.kt
@@ -202,7 +202,9 @@
             mesh.routes.entries
                 .filter { (_, route) -> isRoutable(mesh, route) }
                 .groupBy { (_, route) -> route.host?.lowercase() }
-                .mapValues { (_, routes) -> PrefixMatcher(routes.associate { (id, route) -> route.pathPrefix to id }) }
+                .mapValues { (_, routes) ->
+                    PrefixMatcher(routes.associate { (id, route) -> normalizedPath(route.pathPrefix) to id })
+                }
 
         /**
          * True if the services of [route] exist; otherwise the route is left out, so that it does not hide a shorter
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/Requests.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/Requests.kt
@@ -1,5 +1,6 @@
 package dev.baobabhollow.proxy
 
+import dev.baobabhollow.calls.normalizedPath
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.DefaultHttpResponse
@@ -44,13 +45,14 @@
     CallFailure.notRun(FailureReason.HEADERS_TOO_LARGE, HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
 /**
- * Returns the path by which [uri] is routed, or null if it cannot be routed safely. Percent escapes are decoded and dot
- * segments rejected, because a target may resolve them and execute a request on another route than the one matched.
+ * Returns the path by which [uri] is routed, or null if it cannot be routed safely: dot segments are rejected, also with
+ * escapes, because a target may resolve them and execute a request on another route than the one matched.
  */
 internal fun routingPath(uri: String): String? {
     val path = uri.substringBefore('?')
     val plain = if ('%' in path) unescape(path) ?: return null else path
-    return plain.takeUnless { "/." in it && it.split('/').any { part -> part == "." || part == ".." } }
+    if ("/." in plain && plain.split('/').any { part -> part == "." || part == ".." }) return null
+    return normalizedPath(path)
 }
 
 private fun unescape(path: String): String? {
