--- a/moves/src/main/kotlin/dev/baobabhollow/moves/TakeoverGuard.kt
+++ b/moves/src/main/kotlin/dev/baobabhollow/moves/TakeoverGuard.kt
@@ -74,17 +74,11 @@
         val takeBackFrom =
             takeBackFromMillis
                 ?: maxOf(finalStepMillis(move), nowMillis + MIN_LACK_MILLIS).also { takeBackFromMillis = it }
+        // An isolated node sees few targets of either release.
+        val isOldInSight = 2 * old.serving > maxOf(old.announced, oldPeak)
         return when {
             nowMillis < takeBackFrom -> MoveDecision.Hold(lack)
-
-            // An isolated node sees few targets of either release.
-            2 * old.serving <=
-                maxOf(
-                    old.announced,
-                    oldPeak,
-                )
-            -> MoveDecision.Hold("$lack, nor do those of the old release")
-
+            !isOldInSight -> MoveDecision.Hold("$lack, nor do those of the old release")
             else -> MoveDecision.TakeBack(lack, evidence.copy(detail = lack))
         }
     }
