--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/NodeCore.kt
@@ -242,11 +242,13 @@
         callId: String,
         route: Route,
         failure: CallFailure,
-        leftMillis: Long,
+        deadlines: CallDeadlines,
     ) = callLog.write {
+        val now = nowMillis()
         "event=call_refused call=$callId route=${route.id} service=${route.service.id} version=${tables().version} " +
-            "reason=${failure.reason.text} outcome=${failure.outcome.text} in_use=${admission.inUse} " +
-            "waiting=${admission.waiting} left_ms=$leftMillis room_in_ms=${failure.retryAfterMillis} " +
+            "priority=${route.config.priority} reason=${failure.reason.text} outcome=${failure.outcome.text} " +
+            "in_use=${admission.inUse} waiting=${admission.waiting} left_ms=${deadlines.lastMillis - now} " +
+            "useful_left_ms=${deadlines.usefulMillis - now} room_in_ms=${failure.retryAfterMillis} " +
             "instance=${self.target?.instance} target_status=${self.target?.status}"
     }
 
--- a/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
+++ b/proxy/src/main/kotlin/dev/baobabhollow/proxy/TargetCall.kt
@@ -188,7 +188,7 @@
     /** Ends the call with an error before anything was sent. */
     private fun finish(failure: CallFailure) {
         isEnded = true
-        node.logRefusal(callId, route, failure, deadlineMillis - node.nowMillis())
+        node.logRefusal(callId, route, failure, deadlines)
         pending.clear()
         freeSlot(isMeasured = false)
         key?.release()
@@ -267,7 +267,7 @@
         val wasDetached = isDetached
         isDetached = true
         val failure = CallFailure.notRun(reason).copy(estimate = node.targetEstimate.current())
-        node.logRefusal(callId, route, failure, deadlineMillis - node.nowMillis())
+        node.logRefusal(callId, route, failure, deadlines)
         upstream?.abandon()
         if (!wasDetached) listener.onFailure(failure)
     }
@@ -312,7 +312,7 @@
         // The other failures come from this node's own limits, and say nothing about the release.
         if (failure.reason.health != CallHealth.NEUTRAL) record(TargetResult.ERROR)
         key?.fail(failure.outcome == CallOutcome.UNKNOWN)
-        node.logRefusal(callId, route, failure, deadlineMillis - node.nowMillis())
+        node.logRefusal(callId, route, failure, deadlines)
         if (!isDetached) listener.onFailure(failure)
     }
 
